Add the skeleton: checked types, settings, lists and control messages

The modules of docs/design.md exist with their documentation only; types, settings and lists are complete, so that the other parts meet at fixed interfaces. Reading TOML through serde was ruled out: it stops at the first mismatch, while settings must report every finding with its line. The spanned TOML tables are read directly instead. Conclusion: the remaining parts can be written side by side.

--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,1 @@
+//! Admission of work at the target's own node.
--- /dev/null
+++ b/src/bin/ebonyjunction/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `ebonyjunction`.
+
+fn main() {}
--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,1 @@
+//! The operator command.
--- /dev/null
+++ b/src/config/control.rs
@@ -0,0 +1,129 @@
+//! Settings of a control replica.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use crate::error::Result;
+use crate::toml_reader::{SourceText, TableReader};
+
+use super::{DEFAULT_STOP_TIMEOUT_S, MAX_STOP_TIMEOUT_S, MeshToken, read_checked, read_text};
+
+const MAX_REPLICA_ID: u64 = 1_000_000;
+const MAX_PEERS: usize = 7;
+const DEFAULT_CLAIM_RETENTION_S: u64 = 900;
+const MIN_CLAIM_RETENTION_S: u64 = 10;
+const MAX_CLAIM_RETENTION_S: u64 = 86_400;
+const DEFAULT_SNAPSHOT_ENTRIES: u64 = 4_096;
+const MAX_SNAPSHOT_ENTRIES: u64 = 1_000_000;
+
+/// Identity and address of another control replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerEntry {
+    /// Identity of the replica.
+    pub replica_id: u64,
+    /// Address of its control listener.
+    pub address: SocketAddr,
+}
+
+/// Checked settings of `ebonyjunction-control`.
+#[derive(Debug, Clone)]
+pub struct ControlConfig {
+    /// Identity of this replica, unique in the mesh.
+    pub replica_id: u64,
+    /// Listener for nodes, replicas and operators.
+    pub control_address: SocketAddr,
+    /// Address under which others reach the listener.
+    pub advertise_address: SocketAddr,
+    /// Folder that holds the log and snapshots.
+    pub data_folder: PathBuf,
+    /// Secret shared by the processes of the mesh.
+    pub mesh_token: MeshToken,
+    /// Whether an empty folder may create the first configuration.
+    pub bootstrap: bool,
+    /// The other replicas.
+    pub peers: Vec<PeerEntry>,
+    /// How long claims of idempotency keys are kept.
+    pub claim_retention: Duration,
+    /// Log entries between two snapshots.
+    pub snapshot_entries: u64,
+    /// Bound on a graceful stop.
+    pub stop_timeout: Duration,
+    /// Receiver of statsd metrics over UDP.
+    pub metrics_address: Option<SocketAddr>,
+}
+
+impl ControlConfig {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = read_text(path)?;
+        Self::parse(&path.display().to_string(), &text)
+    }
+
+    /// Checks the text of a settings file.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        read_checked(SourceText { file, text }, read_control)
+    }
+}
+
+fn read_control(reader: &mut TableReader<'_, '_>) -> Option<ControlConfig> {
+    let replica_id = reader.required_integer("replica_id", 1..=MAX_REPLICA_ID);
+    let control_address = reader.required_address("control_address");
+    let advertise_address = reader.address("advertise_address").or(control_address);
+    let data_folder = reader.required_text("data_folder").map(PathBuf::from);
+    let mesh_token = reader.required("mesh_token");
+    let bootstrap = reader.boolean("bootstrap", false);
+    let peers = read_peers(reader, replica_id);
+    let claim_retention_s = reader.integer(
+        "claim_retention_s",
+        MIN_CLAIM_RETENTION_S..=MAX_CLAIM_RETENTION_S,
+        DEFAULT_CLAIM_RETENTION_S,
+    );
+    let snapshot_entries = reader.integer(
+        "snapshot_entries",
+        1..=MAX_SNAPSHOT_ENTRIES,
+        DEFAULT_SNAPSHOT_ENTRIES,
+    );
+    let stop_timeout_s = reader.integer(
+        "stop_timeout_s",
+        1..=MAX_STOP_TIMEOUT_S,
+        DEFAULT_STOP_TIMEOUT_S,
+    );
+    let metrics_address = reader.address("metrics_address");
+    Some(ControlConfig {
+        replica_id: replica_id?,
+        control_address: control_address?,
+        advertise_address: advertise_address?,
+        data_folder: data_folder?,
+        mesh_token: mesh_token?,
+        bootstrap,
+        peers,
+        claim_retention: Duration::from_secs(claim_retention_s),
+        snapshot_entries,
+        stop_timeout: Duration::from_secs(stop_timeout_s),
+        metrics_address,
+    })
+}
+
+fn read_peers(reader: &mut TableReader<'_, '_>, own_id: Option<u64>) -> Vec<PeerEntry> {
+    let mut peers: Vec<PeerEntry> = Vec::new();
+    reader.each_table("peer", |row| {
+        let replica_id = row.required_integer("replica_id", 1..=MAX_REPLICA_ID);
+        let address = row.required_address("address");
+        let (Some(replica_id), Some(address)) = (replica_id, address) else {
+            return;
+        };
+        let is_known = peers.iter().any(|peer| peer.replica_id == replica_id);
+        if is_known || own_id == Some(replica_id) {
+            row.report("replica_id", "must differ from every other replica");
+        }
+        peers.push(PeerEntry {
+            replica_id,
+            address,
+        });
+    });
+    if peers.len() > MAX_PEERS {
+        reader.report("peer", format!("at most {MAX_PEERS} peers are supported"));
+    }
+    peers
+}
--- /dev/null
+++ b/src/config/operator.rs
@@ -0,0 +1,44 @@
+//! Settings of the operator command.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use crate::error::Result;
+use crate::toml_reader::{SourceText, TableReader};
+
+use super::{MeshToken, read_checked, read_text};
+
+/// Checked settings of `ebonyjunction`.
+#[derive(Debug, Clone)]
+pub struct OperatorConfig {
+    /// Addresses of control replicas.
+    pub control: Vec<SocketAddr>,
+    /// Secret shared by the processes of the mesh.
+    pub mesh_token: MeshToken,
+    /// Folder where change ids are stored before an edit is sent.
+    pub change_folder: PathBuf,
+}
+
+impl OperatorConfig {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = read_text(path)?;
+        Self::parse(&path.display().to_string(), &text)
+    }
+
+    /// Checks the text of a settings file.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        read_checked(SourceText { file, text }, read_operator)
+    }
+}
+
+fn read_operator(reader: &mut TableReader<'_, '_>) -> Option<OperatorConfig> {
+    let control = reader.required_addresses("control");
+    let mesh_token = reader.required("mesh_token");
+    let change_folder = reader.required_text("change_folder").map(PathBuf::from);
+    Some(OperatorConfig {
+        control,
+        mesh_token: mesh_token?,
+        change_folder: change_folder?,
+    })
+}
--- /dev/null
+++ b/src/consensus.rs
@@ -0,0 +1,1 @@
+//! Replicated log: elections, replication and membership of replicas.
--- /dev/null
+++ b/src/control_client.rs
@@ -0,0 +1,1 @@
+//! Client of the control replicas.
--- /dev/null
+++ b/src/control_server.rs
@@ -0,0 +1,1 @@
+//! gRPC services of a control replica.
--- /dev/null
+++ b/src/control_state.rs
@@ -0,0 +1,1 @@
+//! State built from committed commands.
--- /dev/null
+++ b/src/decisions.rs
@@ -0,0 +1,1 @@
+//! Record of decisions by request.
--- /dev/null
+++ b/src/directory.rs
@@ -0,0 +1,1 @@
+//! Leases of announced targets and changes of the directory.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,25 @@
+//! Overload control for service call graphs.
+//!
+//! The design is described in `docs/design.md`.
+
+pub mod admission;
+pub mod command;
+pub mod config;
+pub mod consensus;
+pub mod control_client;
+pub mod control_server;
+pub mod control_state;
+pub mod decisions;
+pub mod directory;
+pub mod error;
+pub mod generated;
+pub mod node;
+pub mod plans;
+pub mod proxy;
+pub mod retry;
+pub mod routing;
+pub mod shares;
+pub mod storage;
+pub mod telemetry;
+mod toml_reader;
+pub mod types;
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,1 @@
+//! Assembly and life cycle of a node.
--- /dev/null
+++ b/src/plans.rs
@@ -0,0 +1,10 @@
+//! The two lists that operators edit: plans of callers, and grants of plans.
+
+mod book;
+mod convert;
+mod difference;
+mod list_file;
+
+pub use book::{CallerEntry, GrantEntry, PlanBook, PlanEntry};
+pub use difference::{PlanDifference, diff_books};
+pub use list_file::{ListFiles, read_lists};
--- /dev/null
+++ b/src/proxy.rs
@@ -0,0 +1,1 @@
+//! HTTP servers and clients of a node.
--- /dev/null
+++ b/src/retry.rs
@@ -0,0 +1,1 @@
+//! Bounds on attempts and recognition of resends.
--- /dev/null
+++ b/src/routing.rs
@@ -0,0 +1,1 @@
+//! Choice of a target for each attempt.
--- /dev/null
+++ b/src/shares.rs
@@ -0,0 +1,1 @@
+//! Leased shares of a caller's rate.
--- /dev/null
+++ b/src/storage.rs
@@ -0,0 +1,1 @@
+//! Files of the replicated log.
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,1 @@
+//! Logs and metrics.
--- /dev/null
+++ b/src/types/outcome.rs
@@ -0,0 +1,140 @@
+//! Outcome of an attempt and reasons for refusing work.
+
+use std::fmt;
+
+use http::StatusCode;
+
+/// What is known about the execution of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AttemptOutcome {
+    /// The target ran the request and the answer follows.
+    Ran,
+    /// It is proven that the target did not get the request.
+    NotRun,
+    /// The target may or may not have run the request.
+    Unknown,
+}
+
+impl AttemptOutcome {
+    /// Returns the name used in headers and logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Parses a header value; anything unexpected counts as unknown.
+    pub fn from_header(raw: &[u8]) -> Self {
+        match raw {
+            b"ran" => Self::Ran,
+            b"not-run" => Self::NotRun,
+            _ => Self::Unknown,
+        }
+    }
+}
+
+impl fmt::Display for AttemptOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+macro_rules! refusal_reasons {
+    ($($(#[$doc:meta])* $variant:ident => $text:literal, $status:ident;)+) => {
+        /// Why a request was refused or failed inside the mesh.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum RefusalReason {
+            $($(#[$doc])* $variant,)+
+        }
+
+        impl RefusalReason {
+            /// All reasons, for documentation and tests.
+            pub const ALL: &[Self] = &[$(Self::$variant,)+];
+
+            /// Returns the name used in headers, bodies and logs.
+            pub const fn as_str(self) -> &'static str {
+                match self { $(Self::$variant => $text,)+ }
+            }
+
+            /// Returns the HTTP status sent to the caller.
+            pub const fn status(self) -> StatusCode {
+                match self { $(Self::$variant => StatusCode::$status,)+ }
+            }
+        }
+    };
+}
+
+refusal_reasons! {
+    /// A header, path or key is malformed.
+    BadRequest => "bad-request", BAD_REQUEST;
+    /// At-most-once work came without an idempotency key.
+    KeyRequired => "key-required", BAD_REQUEST;
+    /// The idempotency key is older than the retention of claims.
+    KeyExpired => "key-expired", CONFLICT;
+    /// The credential belongs to no caller.
+    UnknownCaller => "unknown-caller", UNAUTHORIZED;
+    /// The caller's plan has no grant for the service and path.
+    NotGranted => "not-granted", FORBIDDEN;
+    /// No target announced the service.
+    UnknownService => "unknown-service", NOT_FOUND;
+    /// The caller's rate is used up.
+    PlanRate => "plan-rate", TOO_MANY_REQUESTS;
+    /// The node holds no plans, or could not confirm them for too long.
+    PlanStale => "plan-stale", SERVICE_UNAVAILABLE;
+    /// The admission level shuts out the request's priority.
+    AdmissionLevel => "admission-level", SERVICE_UNAVAILABLE;
+    /// The queue of the target is full.
+    QueueFull => "queue-full", SERVICE_UNAVAILABLE;
+    /// More important work took the place in the queue.
+    Displaced => "displaced", SERVICE_UNAVAILABLE;
+    /// The deadline cannot be met.
+    DeadlineInfeasible => "deadline-infeasible", SERVICE_UNAVAILABLE;
+    /// The deadline passed.
+    DeadlineExceeded => "deadline-exceeded", GATEWAY_TIMEOUT;
+    /// The caller or an upstream hop cancelled the request.
+    Cancelled => "cancelled", SERVICE_UNAVAILABLE;
+    /// The target is leaving.
+    TargetLeaving => "target-leaving", SERVICE_UNAVAILABLE;
+    /// The target does not accept connections.
+    TargetDown => "target-down", SERVICE_UNAVAILABLE;
+    /// No target is left to send to.
+    NoTarget => "no-target", SERVICE_UNAVAILABLE;
+    /// The chain's allowance of attempts is spent.
+    AllowanceSpent => "allowance-spent", SERVICE_UNAVAILABLE;
+    /// The nearest hop has retried already.
+    RetriesSpent => "retries-spent", SERVICE_UNAVAILABLE;
+    /// The same request is still in flight at this entry.
+    DuplicateInFlight => "duplicate-in-flight", CONFLICT;
+    /// Work under this idempotency key is in progress or its outcome is not known.
+    ClaimInProgress => "claim-in-progress", CONFLICT;
+    /// Work under this idempotency key already ran.
+    AlreadyRan => "already-ran", CONFLICT;
+    /// The claim log did not answer in time.
+    ClaimUnavailable => "claim-unavailable", SERVICE_UNAVAILABLE;
+    /// The answer was lost or incomplete.
+    AnswerLost => "answer-lost", BAD_GATEWAY;
+    /// The request body is larger than the configured bound.
+    BodyTooLarge => "body-too-large", PAYLOAD_TOO_LARGE;
+    /// The mesh token is missing or wrong.
+    BadMeshToken => "bad-mesh-token", UNAUTHORIZED;
+    /// The process is stopping.
+    Stopping => "stopping", SERVICE_UNAVAILABLE;
+}
+
+impl RefusalReason {
+    /// Parses the name used in headers.
+    pub fn from_header(raw: &[u8]) -> Option<Self> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|reason| reason.as_str().as_bytes() == raw)
+    }
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/src/types/time.rs
@@ -0,0 +1,46 @@
+//! Time as seen by decisions.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// Monotonic time since the process started; decisions receive it as an argument.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct TickTime(Duration);
+
+impl TickTime {
+    /// Creates a time from the duration since start.
+    pub const fn from_start(elapsed: Duration) -> Self {
+        Self(elapsed)
+    }
+
+    /// Creates a time from milliseconds since start.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(Duration::from_millis(millis))
+    }
+
+    /// Returns the duration since start.
+    pub const fn since_start(self) -> Duration {
+        self.0
+    }
+
+    /// Returns the time from `earlier` to `self`, or zero if `earlier` is later.
+    pub const fn saturating_since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<Duration> for TickTime {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(span))
+    }
+}
+
+impl Sub for TickTime {
+    type Output = Duration;
+
+    fn sub(self, earlier: Self) -> Duration {
+        self.saturating_since(earlier)
+    }
+}
