--- a/src/toml_reader.rs
+++ b/src/toml_reader.rs
@@ -20,11 +20,8 @@
 
 impl<'a> SourceText<'a> {
     fn line_at(&self, offset: usize) -> usize {
-        let end = offset.min(self.text.len());
-        1 + self.text.as_bytes()[..end]
-            .iter()
-            .filter(|byte| **byte == b'\n')
-            .count()
+        let before = self.text.get(..offset).unwrap_or(self.text);
+        1 + before.matches('\n').count()
     }
 
     /// Parses the text; syntax errors become findings and the readable rest is returned.
