--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,1 +1,70 @@
-//! Logs and metrics.
+//! Log lines on standard error and statsd metrics over UDP.
+//!
+//! An event is logged with the macros of the `log` crate and structured keys, for example
+//! `log::info!(event = "listening", address:% = address; "")`.
+
+mod line;
+
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
+
+use cadence::{NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
+use flexi_logger::{Logger, LoggerHandle, WriteMode};
+
+use crate::error::{MeshError, Result};
+
+const DEFAULT_LEVELS: &str = "info";
+// A stalled network must not let metrics grow without bound; newer ones are dropped instead.
+const MAX_QUEUED_METRICS: usize = 4_096;
+
+/// Keeps the log writer running; dropping it writes out what is buffered.
+pub struct LogGuard {
+    handle: LoggerHandle,
+}
+
+impl std::fmt::Debug for LogGuard {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("LogGuard")
+    }
+}
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        self.handle.flush();
+        self.handle.shutdown();
+    }
+}
+
+/// Starts logging to standard error, at the levels in `RUST_LOG` or else from `info` up.
+pub fn start_logging() -> Result<LogGuard> {
+    let failed = |error: flexi_logger::FlexiLoggerError| {
+        MeshError::io("cannot start logging", std::io::Error::other(error))
+    };
+    let handle = Logger::try_with_env_or_str(DEFAULT_LEVELS)
+        .map_err(failed)?
+        .log_to_stderr()
+        .format(line::write_line)
+        .use_utc()
+        .write_mode(WriteMode::Async)
+        .start()
+        .map_err(failed)?;
+    Ok(LogGuard { handle })
+}
+
+/// Creates a metrics client; without an address it discards all metrics.
+pub fn metrics_client(prefix: &str, address: Option<SocketAddr>) -> Result<StatsdClient> {
+    let Some(address) = address else {
+        return Ok(StatsdClient::from_sink(prefix, NopMetricSink));
+    };
+    let failed = |source| MeshError::io("cannot open the metrics socket", source);
+    let local: IpAddr = if address.is_ipv4() {
+        Ipv4Addr::UNSPECIFIED.into()
+    } else {
+        Ipv6Addr::UNSPECIFIED.into()
+    };
+    let socket = UdpSocket::bind((local, 0)).map_err(failed)?;
+    socket.set_nonblocking(true).map_err(failed)?;
+    let sink = UdpMetricSink::from(address, socket)
+        .map_err(|error| failed(std::io::Error::other(error)))?;
+    let queue = QueuingMetricSink::with_capacity(sink, MAX_QUEUED_METRICS);
+    Ok(StatsdClient::from_sink(prefix, queue))
+}
