--- a/src/admission.rs
+++ b/src/admission.rs
@@ -1,1 +1,18 @@
 //! Admission of work at the target's own node.
+//!
+//! [`AdmissionControl`] decides which work runs, waits or is refused. It reads no clock: every call carries the
+//! current time.
+
+mod control;
+mod level;
+mod limit;
+mod priority_histogram;
+mod queue;
+mod running;
+mod service_time;
+mod settings;
+mod work;
+
+pub use control::AdmissionControl;
+pub use settings::AdmissionSettings;
+pub use work::{OfferDecision, WorkAction, WorkKey, WorkRequest, WorkResult};
--- /dev/null
+++ b/src/admission/control.rs
@@ -0,0 +1,383 @@
+//! Admission control of one target.
+
+use std::time::Duration;
+
+use rand::{Rng, RngCore};
+use slotmap::SlotMap;
+
+use crate::types::{PriorityClass, RefusalReason, RequestPriority, TickTime};
+
+use super::level::LevelControl;
+use super::limit::{BaselineChange, ConcurrencyLimit};
+use super::queue::{QueueRank, WorkQueue};
+use super::running::RunningWork;
+use super::service_time::ServiceTimes;
+use super::settings::AdmissionSettings;
+use super::work::{OfferDecision, WorkAction, WorkKey, WorkRequest, WorkResult};
+
+/// The queue may hold at least one entry for this many slots. A slow target with few slots would otherwise have room
+/// for less than one entry within the bound on wait, and its slots would idle between arrivals.
+const SLOTS_PER_QUEUED: usize = 4;
+/// Mean time after which a refused caller may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Share of the mean by which the time to come back varies either way, so that refused callers spread out.
+const RETRY_JITTER: f64 = 0.5;
+
+#[derive(Debug, Clone, Copy)]
+enum WorkState {
+    Queued(QueueRank),
+    Running { since: TickTime, generation: u32 },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct WorkEntry {
+    request: WorkRequest,
+    state: WorkState,
+}
+
+/// Decides which work a target runs, which waits and which is refused.
+#[derive(Debug)]
+pub struct AdmissionControl {
+    settings: AdmissionSettings,
+    entries: SlotMap<WorkKey, WorkEntry>,
+    queue: WorkQueue,
+    running: RunningWork,
+    times: ServiceTimes,
+    limit: ConcurrencyLimit,
+    level: LevelControl,
+    sequence: u64,
+    drain_interval: Duration,
+}
+
+impl AdmissionControl {
+    /// Creates the control of a target with the announced number of slots.
+    pub fn new(settings: AdmissionSettings, slots: u32) -> Self {
+        Self {
+            settings,
+            entries: SlotMap::with_key(),
+            queue: WorkQueue::default(),
+            running: RunningWork::default(),
+            times: ServiceTimes::default(),
+            limit: ConcurrencyLimit::new(slots),
+            level: LevelControl::new(),
+            sequence: 0,
+            drain_interval: Duration::ZERO,
+        }
+    }
+
+    /// Decides about new work. Queued work that is displaced or can now start is in the actions.
+    pub fn offer(
+        &mut self,
+        now: TickTime,
+        request: WorkRequest,
+    ) -> (OfferDecision, Vec<WorkAction>) {
+        let mut actions = Vec::new();
+        self.level.note_offer(request.priority);
+        self.refresh(now);
+        self.start_ready(now, &mut actions);
+        let decision = match self.check_deadline(now, &request) {
+            Err(reason) => OfferDecision::Refused(reason),
+            Ok(()) if self.has_free_slot() => self.offer_free_slot(now, request),
+            Ok(()) => self.offer_queue(now, request, &mut actions),
+        };
+        (decision, actions)
+    }
+
+    /// Ends running work and starts what waited for its slot. Unknown keys are ignored.
+    pub fn finish(&mut self, now: TickTime, key: WorkKey, result: WorkResult) -> Vec<WorkAction> {
+        let mut actions = Vec::new();
+        let Some(entry) = self.entries.get(key).copied() else {
+            return actions;
+        };
+        let WorkState::Running { since, generation } = entry.state else {
+            return actions;
+        };
+        self.entries.remove(key);
+        let class = entry.request.priority.class();
+        self.running.remove(since, class);
+        self.measure(now, class, now - since, generation, result);
+        self.refresh(now);
+        self.start_ready(now, &mut actions);
+        actions
+    }
+
+    /// Removes queued work and returns true if it was queued, which proves that it did not run. Running work stays
+    /// until it is finished.
+    pub fn cancel(&mut self, _now: TickTime, key: WorkKey) -> bool {
+        let Some(entry) = self.entries.get(key) else {
+            return false;
+        };
+        let WorkState::Queued(rank) = entry.state else {
+            return false;
+        };
+        self.queue.remove(rank);
+        self.entries.remove(key);
+        true
+    }
+
+    /// Refuses expired work and adapts the limit and the level; to be called every 20 ms.
+    pub fn tick(&mut self, now: TickTime) -> Vec<WorkAction> {
+        let mut actions = Vec::new();
+        self.refresh(now);
+        self.refuse_hopeless(now, &mut actions);
+        if let BaselineChange::Scale(factor) = self.limit.evaluate() {
+            self.times.scale_long(factor);
+        }
+        self.sample_level();
+        self.level.update(now, self.settings.level_period);
+        self.start_ready(now, &mut actions);
+        actions
+    }
+
+    /// Refuses all queued work because the process stops. Work offered later is decided about as before.
+    pub fn drain(&mut self) -> Vec<WorkAction> {
+        let keys: Vec<WorkKey> = self.queue.keys().collect();
+        self.queue = WorkQueue::default();
+        keys.into_iter()
+            .map(|key| self.refuse(key, RefusalReason::Stopping))
+            .collect()
+    }
+
+    /// Changes the number of slots. Work above a smaller number finishes; room in a larger number is filled by the
+    /// next offer, finish or tick.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.limit.set_slots(slots);
+    }
+
+    /// Returns the admission level: requests below it are refused.
+    pub fn level(&self) -> RequestPriority {
+        self.level.get()
+    }
+
+    /// Returns how long the last entry of the queue is expected to wait.
+    pub fn expected_wait(&self) -> Duration {
+        self.drain_interval
+            .saturating_mul(u32::try_from(self.queue.len()).unwrap_or(u32::MAX))
+    }
+
+    /// Returns how much work occupies slots.
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns how much work waits.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the adaptive concurrency limit.
+    pub fn limit(&self) -> u32 {
+        self.limit.get()
+    }
+
+    /// Returns a jittered time after which refused work may be offered again.
+    pub fn retry_after(&self, rng: &mut dyn RngCore) -> Duration {
+        let mean = RETRY_AFTER + self.expected_wait();
+        mean.mul_f64(rng.random_range(1.0 - RETRY_JITTER..1.0 + RETRY_JITTER))
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.running.len() < self.limit.get() as usize
+    }
+
+    /// Updates the expected time between two slots becoming free.
+    fn refresh(&mut self, now: TickTime) {
+        let limit = self.limit.get();
+        if limit == 0 {
+            return;
+        }
+        // The age of running work shows a slowdown before the first slow work has finished.
+        let service = self
+            .times
+            .expected_overall(now)
+            .max(self.running.mean_age(now));
+        self.drain_interval = service / limit;
+    }
+
+    fn check_deadline(&self, now: TickTime, request: &WorkRequest) -> Result<(), RefusalReason> {
+        self.check_deadline_after(now, Duration::ZERO, request)
+    }
+
+    fn check_deadline_after(
+        &self,
+        now: TickTime,
+        wait: Duration,
+        request: &WorkRequest,
+    ) -> Result<(), RefusalReason> {
+        if request.deadline <= now {
+            return Err(RefusalReason::DeadlineExceeded);
+        }
+        let service = self.times.expected(now, request.priority.class());
+        if now + wait + service > request.deadline {
+            return Err(RefusalReason::DeadlineInfeasible);
+        }
+        Ok(())
+    }
+
+    /// Starts work in a free slot. The level shuts out only whole classes here: while a slot is free, refusing a
+    /// part of a class saves nothing, but a lower class must not run while the level refuses a higher one.
+    fn offer_free_slot(&mut self, now: TickTime, request: WorkRequest) -> OfferDecision {
+        if request.priority.class() < self.level.get().class() {
+            return OfferDecision::Refused(RefusalReason::AdmissionLevel);
+        }
+        let key = self.entries.insert(WorkEntry {
+            request,
+            state: self.running_state(now),
+        });
+        self.occupy(now, request.priority.class());
+        OfferDecision::Started(key)
+    }
+
+    fn offer_queue(
+        &mut self,
+        now: TickTime,
+        request: WorkRequest,
+        actions: &mut Vec<WorkAction>,
+    ) -> OfferDecision {
+        self.sequence += 1;
+        let rank = QueueRank::new(&request, self.sequence);
+        let ahead = u32::try_from(self.queue.count_before(rank)).unwrap_or(u32::MAX);
+        let wait = self.drain_interval.saturating_mul(ahead.saturating_add(1));
+        if let Err(reason) = self.check_deadline_after(now, wait, &request) {
+            return OfferDecision::Refused(reason);
+        }
+        if let Err(reason) = self.make_room(rank, &request, actions) {
+            return OfferDecision::Refused(reason);
+        }
+        let state = WorkState::Queued(rank);
+        let key = self.entries.insert(WorkEntry { request, state });
+        self.queue.push(rank, key);
+        OfferDecision::Queued(key)
+    }
+
+    /// Finds a place in the queue, displacing less important work if needed.
+    ///
+    /// Each running piece of a lower class yields one more place, because its slot goes to the higher class next. So
+    /// a higher class is refused only when all room that lower classes hold is promised to it already.
+    fn make_room(
+        &mut self,
+        rank: QueueRank,
+        request: &WorkRequest,
+        actions: &mut Vec<WorkAction>,
+    ) -> Result<(), RefusalReason> {
+        let is_shut_out = request.priority < self.level.get();
+        let bound = if is_shut_out { 0 } else { self.queue_bound() };
+        if self.queue.len() < bound + self.running.count_below(rank.class()) {
+            return Ok(());
+        }
+        let can_displace = self
+            .queue
+            .lowest()
+            .is_some_and(|lowest| lowest.class() < rank.class() || (!is_shut_out && lowest < rank));
+        if !can_displace {
+            return Err(if is_shut_out {
+                RefusalReason::AdmissionLevel
+            } else {
+                RefusalReason::QueueFull
+            });
+        }
+        if let Some(key) = self.queue.pop_lowest() {
+            actions.push(self.refuse(key, RefusalReason::Displaced));
+        }
+        Ok(())
+    }
+
+    fn queue_bound(&self) -> usize {
+        let limit = self.limit.get() as usize;
+        if limit == 0 {
+            return 0;
+        }
+        if self.drain_interval.is_zero() {
+            return self.settings.queue_limit;
+        }
+        let in_time = self.settings.max_wait.as_secs_f64() / self.drain_interval.as_secs_f64();
+        let least = limit.div_ceil(SLOTS_PER_QUEUED);
+        (in_time as usize).max(least).min(self.settings.queue_limit)
+    }
+
+    fn start_ready(&mut self, now: TickTime, actions: &mut Vec<WorkAction>) {
+        while self.has_free_slot() {
+            let Some(key) = self.queue.pop_first() else {
+                return;
+            };
+            let action = self.start(now, key);
+            actions.extend(action);
+        }
+    }
+
+    fn start(&mut self, now: TickTime, key: WorkKey) -> Option<WorkAction> {
+        let request = self.entries.get(key)?.request;
+        if let Err(reason) = self.check_deadline(now, &request) {
+            return Some(self.refuse(key, reason));
+        }
+        let state = self.running_state(now);
+        self.entries.get_mut(key)?.state = state;
+        self.occupy(now, request.priority.class());
+        Some(WorkAction::Start(key))
+    }
+
+    fn running_state(&self, now: TickTime) -> WorkState {
+        WorkState::Running {
+            since: now,
+            generation: self.limit.generation(),
+        }
+    }
+
+    fn occupy(&mut self, now: TickTime, class: PriorityClass) {
+        self.running.add(now, class);
+        if !self.has_free_slot() {
+            self.limit.note_reached();
+        }
+    }
+
+    fn refuse(&mut self, key: WorkKey, reason: RefusalReason) -> WorkAction {
+        self.entries.remove(key);
+        WorkAction::Refuse(key, reason)
+    }
+
+    /// Refuses queued work that has expired or can no longer meet its deadline.
+    fn refuse_hopeless(&mut self, now: TickTime, actions: &mut Vec<WorkAction>) {
+        let keys: Vec<WorkKey> = self.queue.keys().collect();
+        for key in keys {
+            let Some(entry) = self.entries.get(key).copied() else {
+                continue;
+            };
+            let verdict = self.check_deadline(now, &entry.request);
+            if let (Err(reason), WorkState::Queued(rank)) = (verdict, entry.state) {
+                self.queue.remove(rank);
+                actions.push(self.refuse(key, reason));
+            }
+        }
+    }
+
+    fn measure(
+        &mut self,
+        now: TickTime,
+        class: PriorityClass,
+        time: Duration,
+        generation: u32,
+        result: WorkResult,
+    ) {
+        if result == WorkResult::NotStarted {
+            return;
+        }
+        self.level.note_finish();
+        // A quick failure says nothing about the service time; a slow one shows that it is at least that long.
+        let is_sample = result == WorkResult::Success || time > self.times.expected(now, class);
+        let ratio = if is_sample {
+            self.times.record(now, class, time)
+        } else {
+            1.0
+        };
+        self.limit.record(generation, ratio, result);
+    }
+
+    fn sample_level(&mut self) {
+        let limit = self.limit.get().max(1);
+        let bound = self.settings.wait_bound.max(self.drain_interval);
+        let wait_ratio =
+            self.expected_wait().as_secs_f64() / bound.as_secs_f64().max(f64::MIN_POSITIVE);
+        let utilisation = self.running.len() as f64 / f64::from(limit);
+        self.level.sample(wait_ratio, utilisation);
+    }
+}
--- /dev/null
+++ b/src/admission/level.rs
@@ -0,0 +1,102 @@
+//! Controller of the admission level.
+
+use std::time::Duration;
+
+use crate::types::{RequestPriority, TickTime};
+
+use super::priority_histogram::PriorityHistogram;
+
+/// Weight of the newest window in the rate of finished work.
+const RATE_WEIGHT: f64 = 0.3;
+/// Growth of the admitted rate per window while the wait is within its bound.
+const GROWTH: f64 = 0.05;
+/// Utilisation below which the level opens in proportion to the free slots.
+const FREE_UTILISATION: f64 = 0.9;
+/// Largest factor by which the admitted rate grows in one window.
+const MAX_OPENING: f64 = 2.0;
+/// Reduction of the admitted rate for a wait of twice the bound, so that the backlog drains.
+const DRAIN_GAIN: f64 = 0.1;
+/// Largest reduction below the rate of finished work.
+const MAX_DRAIN: f64 = 0.3;
+
+#[derive(Debug, Default)]
+struct WindowSums {
+    wait_ratio: f64,
+    utilisation: f64,
+    samples: u32,
+    finished: u32,
+}
+
+/// Admission level and the measurements that move it.
+#[derive(Debug)]
+pub(super) struct LevelControl {
+    level: RequestPriority,
+    histogram: PriorityHistogram,
+    finish_rate: f64,
+    window: WindowSums,
+    window_start: TickTime,
+}
+
+impl LevelControl {
+    pub(super) fn new() -> Self {
+        Self {
+            level: RequestPriority::from_raw(0),
+            histogram: PriorityHistogram::default(),
+            finish_rate: 0.0,
+            window: WindowSums::default(),
+            window_start: TickTime::default(),
+        }
+    }
+
+    pub(super) fn get(&self) -> RequestPriority {
+        self.level
+    }
+
+    pub(super) fn note_offer(&mut self, priority: RequestPriority) {
+        self.histogram.add(priority);
+    }
+
+    pub(super) fn note_finish(&mut self) {
+        self.window.finished += 1;
+    }
+
+    /// Adds a sample of the queue wait over its bound and of the share of slots in use.
+    pub(super) fn sample(&mut self, wait_ratio: f64, utilisation: f64) {
+        self.window.wait_ratio += wait_ratio;
+        self.window.utilisation += utilisation;
+        self.window.samples += 1;
+    }
+
+    /// Moves the level once a window has passed.
+    pub(super) fn update(&mut self, now: TickTime, period: Duration) {
+        let elapsed = now - self.window_start;
+        if elapsed < period || self.window.samples == 0 {
+            return;
+        }
+        let window = std::mem::take(&mut self.window);
+        self.window_start = now;
+        let window_s = elapsed.as_secs_f64().max(f64::MIN_POSITIVE);
+        let finished = f64::from(window.finished) / window_s;
+        self.finish_rate += (finished - self.finish_rate) * RATE_WEIGHT;
+        self.histogram.end_window(window_s, self.level);
+        let samples = f64::from(window.samples);
+        self.move_level(window.wait_ratio / samples, window.utilisation / samples);
+    }
+
+    fn move_level(&mut self, wait_ratio: f64, utilisation: f64) {
+        let admitted = self.histogram.rate_from(self.level);
+        if wait_ratio > 1.0 {
+            let drain = (DRAIN_GAIN * (wait_ratio - 1.0)).min(MAX_DRAIN);
+            let wanted = admitted.min(self.finish_rate) * (1.0 - drain);
+            self.level = self.level.max(self.histogram.level_for(wanted));
+        } else if self.level > RequestPriority::from_raw(0) {
+            let opening = if utilisation < FREE_UTILISATION {
+                (1.0 / utilisation.max(f64::MIN_POSITIVE)).min(MAX_OPENING)
+            } else {
+                1.0
+            };
+            let wanted = admitted.max(self.finish_rate) * opening.max(1.0 + GROWTH);
+            self.level = self.level.min(self.histogram.level_for(wanted));
+        }
+    }
+}
