--- a/src/bin/ebonyjunction-node/main.rs
+++ b/src/bin/ebonyjunction-node/main.rs
@@ -1,3 +1,68 @@
 //! Entry point of `ebonyjunction-node`.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use ebonyjunction::config::NodeConfig;
+use ebonyjunction::error::{MeshError, Result};
+use ebonyjunction::node::run_node;
+use ebonyjunction::telemetry::start_logging;
+use mimalloc::MiMalloc;
+use pico_args::Arguments;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+const HELP: &str = "\
+Overload control beside one target.
+
+Usage: ebonyjunction-node --settings FILE [--check]
+
+Options:
+  --settings FILE  settings in TOML
+  --check          check the settings and exit
+  --help           print this text
+  --version        print the version
+";
+const WORKER_THREADS: usize = 2;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{HELP}");
+        return Ok(());
+    }
+    if arguments.contains("--version") {
+        println!("ebonyjunction-node {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let usage = |error: pico_args::Error| MeshError::Usage(error.to_string());
+    let is_check = arguments.contains("--check");
+    let settings: PathBuf = arguments.value_from_str("--settings").map_err(usage)?;
+    let unused = arguments.finish();
+    if !unused.is_empty() {
+        return Err(MeshError::Usage(format!("unknown arguments: {unused:?}")));
+    }
+    let config = NodeConfig::load(&settings)?;
+    if is_check {
+        println!("{}: settings are valid", settings.display());
+        return Ok(());
+    }
+    let _logging = start_logging()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()
+        .map_err(|source| MeshError::io("cannot start the runtime", source))?;
+    runtime.block_on(run_node(config))
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,1 +1,18 @@
-//! Assembly and life cycle of a node.
+//! One node: its state, its loops and its lifecycle.
+
+mod heartbeat;
+mod kept_answers;
+mod lifecycle;
+mod plan_view;
+mod probe;
+mod run;
+mod state;
+mod target;
+
+pub use run::run_node;
+pub(crate) use kept_answers::{AnswerScope, KeptAnswer};
+pub(crate) use lifecycle::{LifecycleEvent, NodePhase};
+pub(crate) use plan_view::PlanView;
+pub use state::NodeState;
+pub(crate) use state::lock;
+pub(crate) use target::{Announcement, StartSignal};
--- /dev/null
+++ b/src/node/heartbeat.rs
@@ -0,0 +1,167 @@
+//! Heartbeats to the control replicas.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::sleep;
+
+use crate::error::Result;
+use crate::generated::{
+    DirectoryDelta, HeartbeatReply, HeartbeatRequest, NodeInfo, RateDemand, TargetInfo,
+};
+use crate::plans::PlanBook;
+use crate::routing::{DirectoryUpdate, TargetState};
+use crate::types::TickTime;
+
+use super::{LifecycleEvent, NodeState, lock};
+
+const PERIOD: Duration = Duration::from_secs(1);
+// Spreads the heartbeats of nodes that start together.
+const PERIOD_JITTER: f64 = 0.1;
+// A node without plans refuses all work, so it asks again soon.
+const START_PERIOD: Duration = Duration::from_millis(200);
+// Bounds the load of a target that announces itself again and again.
+const MIN_PAUSE: Duration = Duration::from_millis(50);
+
+// Shortest time after which refused demand causes an early heartbeat, so that a caller beyond its rate does not use up
+// the bytes set aside for control.
+const DEMAND_PAUSE: Duration = Duration::from_millis(250);
+
+/// Position in the directory up to which the node holds it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct DirectoryPosition {
+    term: u64,
+    revision: u64,
+}
+
+/// Sends heartbeats until the node stops.
+pub(super) async fn run_heartbeats(state: Arc<NodeState>) {
+    loop {
+        if let Err(error) = beat(&state).await {
+            log::warn!("event=heartbeat_failed error={:?}", error.to_string());
+        }
+        sleep(MIN_PAUSE).await;
+        let demand = async {
+            sleep(DEMAND_PAUSE).await;
+            state.rate_wanted.notified().await;
+        };
+        tokio::select! {
+            () = sleep(next_period(&state)) => {}
+            () = state.announced.notified() => {}
+            () = demand => {}
+        }
+    }
+}
+
+/// Tells the directory once that the target leaves.
+pub(super) async fn send_last_heartbeat(state: &Arc<NodeState>) {
+    match beat(state).await {
+        Ok(()) => log::info!("event=withdrawn"),
+        Err(error) => log::warn!("event=withdraw_failed error={:?}", error.to_string()),
+    }
+}
+
+fn next_period(state: &NodeState) -> Duration {
+    if lock(&state.plans).version() == 0 {
+        return START_PERIOD;
+    }
+    let factor = lock(&state.rng).random_range(1.0 - PERIOD_JITTER..1.0 + PERIOD_JITTER);
+    PERIOD.mul_f64(factor)
+}
+
+async fn beat(state: &Arc<NodeState>) -> Result<()> {
+    let sent_at = state.now();
+    let position = *lock(&state.directory);
+    let request = build_request(state, position, sent_at);
+    let reply = state.control.heartbeat(request).await?;
+    apply_reply(state, sent_at, reply)
+}
+
+fn build_request(
+    state: &NodeState,
+    position: DirectoryPosition,
+    now: TickTime,
+) -> HeartbeatRequest {
+    let demands = lock(&state.shares).demands(now);
+    let services = lock(&state.called_services);
+    HeartbeatRequest {
+        node: Some(node_info(state)),
+        plan_version: lock(&state.plans).version(),
+        directory_term: position.term,
+        directory_revision: position.revision,
+        demands: demands.iter().map(RateDemand::from).collect(),
+        relayed: false,
+        // Outside callers may name any service at any node, and the first call must not wait for a heartbeat.
+        all_services: true,
+        services: services.iter().map(ToString::to_string).collect(),
+    }
+}
+
+fn node_info(state: &NodeState) -> NodeInfo {
+    let target = lock(&state.target);
+    let target = target.announcement().map(|(announcement, target_state)| {
+        let target_state = if state.is_stopping() {
+            TargetState::Leaving
+        } else {
+            target_state
+        };
+        TargetInfo {
+            service: announcement.service.to_string(),
+            slots: announcement.slots,
+            connections: announcement.connections,
+            state: crate::generated::TargetState::from(target_state).into(),
+        }
+    });
+    NodeInfo {
+        node_id: state.node_id.as_bytes().to_vec().into(),
+        zone: state.config.zone.to_string(),
+        region: state.config.region.to_string(),
+        mesh_address: state.mesh_address.to_string(),
+        target,
+    }
+}
+
+fn apply_reply(state: &NodeState, sent_at: TickTime, reply: HeartbeatReply) -> Result<()> {
+    let now = state.now();
+    if let Some(plans) = &reply.plans {
+        let book = PlanBook::try_from(plans)?;
+        let version = book.version();
+        if lock(&state.plans).adopt(book) {
+            log::info!("event=plans_adopted version={version}");
+        }
+    }
+    // The leader's age counts from before its answer, which is after the heartbeat was sent.
+    let age = Duration::from_millis(reply.freshness_age_ms.into());
+    let confirmed_at = TickTime::from_start(sent_at.since_start().saturating_sub(age));
+    if lock(&state.plans).confirm(reply.plan_version, confirmed_at) {
+        state.advance(LifecycleEvent::PlansArrived);
+    }
+    let shares: Vec<_> = reply.shares.iter().filter_map(|share| share.try_into().ok()).collect();
+    lock(&state.shares).update(sent_at, now, &shares);
+    state.rate_granted.notify_waiters();
+    if let Some(delta) = reply.directory {
+        apply_directory(state, now, delta)?;
+    }
+    Ok(())
+}
+
+fn apply_directory(state: &NodeState, now: TickTime, delta: DirectoryDelta) -> Result<()> {
+    let next = DirectoryPosition {
+        term: delta.term,
+        revision: delta.revision,
+    };
+    let changed = delta.changed.len() + delta.removed.len();
+    if delta.full || changed > 0 {
+        log::info!(
+            "event=directory term={} revision={} full={} changed={changed}",
+            next.term,
+            next.revision,
+            delta.full
+        );
+    }
+    let update = DirectoryUpdate::try_from(delta)?;
+    lock(&state.routes).apply_update(now, update);
+    *lock(&state.directory) = next;
+    Ok(())
+}
--- /dev/null
+++ b/src/node/kept_answers.rs
@@ -0,0 +1,62 @@
+//! Answers of at-most-once work, kept for resends.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+
+use crate::types::{CallerName, IdempotencyKey, ServiceName};
+
+const MAX_ANSWERS: usize = 512;
+const MAX_ANSWER_BYTES: usize = 16 * 1024;
+
+/// Scope of an idempotency key.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct AnswerScope {
+    /// Immediate caller.
+    pub(crate) caller: CallerName,
+    /// Service that ran the work.
+    pub(crate) service: ServiceName,
+    /// Key of the work.
+    pub(crate) key: IdempotencyKey,
+}
+
+/// Complete answer of a target.
+#[derive(Debug, Clone)]
+pub(crate) struct KeptAnswer {
+    /// Status of the answer.
+    pub(crate) status: StatusCode,
+    /// Headers that may be passed on.
+    pub(crate) headers: HeaderMap,
+    /// Body of the answer.
+    pub(crate) body: Bytes,
+}
+
+/// Bounded memory of answers.
+#[derive(Debug, Default)]
+pub(crate) struct AnswerMemory {
+    answers: BTreeMap<AnswerScope, KeptAnswer>,
+    order: VecDeque<AnswerScope>,
+}
+
+impl AnswerMemory {
+    /// Keeps an answer unless it is large.
+    pub(crate) fn keep(&mut self, scope: AnswerScope, answer: KeptAnswer) {
+        if answer.body.len() > MAX_ANSWER_BYTES {
+            return;
+        }
+        if self.order.len() >= MAX_ANSWERS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.answers.remove(&oldest);
+        }
+        if self.answers.insert(scope.clone(), answer).is_none() {
+            self.order.push_back(scope);
+        }
+    }
+
+    /// Returns the answer of work that ran before.
+    pub(crate) fn find(&self, scope: &AnswerScope) -> Option<KeptAnswer> {
+        self.answers.get(scope).cloned()
+    }
+}
--- /dev/null
+++ b/src/node/probe.rs
@@ -0,0 +1,63 @@
+//! Periodic work of a node: probe of the own target, and decisions that depend on time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use super::{NodeState, lock};
+
+/// Period of admission decisions.
+const TICK_PERIOD: Duration = Duration::from_millis(20);
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+const EXPIRE_PERIOD_TICKS: u32 = 50;
+
+/// Lets admission expire work and adapt, and drops outdated memory.
+pub(super) async fn run_ticks(state: Arc<NodeState>) {
+    let mut ticks = interval(TICK_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut count = 0_u32;
+    loop {
+        ticks.tick().await;
+        let now = state.now();
+        lock(&state.target).tick(now);
+        count = count.wrapping_add(1);
+        if count.is_multiple_of(EXPIRE_PERIOD_TICKS) {
+            lock(&state.cancelled).expire(now);
+            lock(&state.entries).expire(now);
+            lock(&state.attempts).expire(now);
+        }
+    }
+}
+
+/// Probes the own target by TCP connect.
+pub(super) async fn run_probes(state: Arc<NodeState>) {
+    let mut ticks = interval(PROBE_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let probed = {
+            let target = lock(&state.target);
+            let announcement = target.announcement();
+            announcement.map(|(announcement, _)| (announcement.address, target.epoch()))
+        };
+        let Some((address, epoch)) = probed else {
+            continue;
+        };
+        let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+        let is_reachable = matches!(connected, Ok(Ok(_)));
+        state.note_reachable(epoch, is_reachable);
+    }
+}
+
+impl NodeState {
+    /// Notes whether the own target accepts connections and tells the directory of a change.
+    pub(crate) fn note_reachable(&self, epoch: u64, is_reachable: bool) {
+        if lock(&self.target).note_reachable(epoch, is_reachable) {
+            log::warn!("event=target_state reachable={is_reachable}");
+            self.announced.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/src/node/run.rs
@@ -0,0 +1,131 @@
+//! Start and graceful stop of a node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::config::NodeConfig;
+use crate::error::{MeshError, Result};
+use crate::proxy::{ListenerKind, serve_listener};
+
+use super::heartbeat::{run_heartbeats, send_last_heartbeat};
+use super::probe::{run_probes, run_ticks};
+use super::{LifecycleEvent, NodeState, lock};
+
+// Other nodes learn of the withdrawal with their next heartbeat; until then their work is refused as not-run, which a
+// closed port would do as well, but a connection that closes under a request would not.
+const LINGER: Duration = Duration::from_millis(1_500);
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+// Kept free at the end of the stop for closing connections and writing the log.
+const STOP_RESERVE: Duration = Duration::from_millis(500);
+
+/// Runs a node until SIGTERM or SIGINT and its graceful stop.
+pub async fn run_node(config: NodeConfig) -> Result<()> {
+    let mut stop_signals = StopSignals::new()?;
+    let entry = bind(config.entry_address, ListenerKind::Entry).await?;
+    let mesh = bind(config.mesh_address, ListenerKind::Mesh).await?;
+    let local = bind(config.local_address, ListenerKind::Local).await?;
+    let mesh_address = advertised_address(&config, &mesh)?;
+    let state = Arc::new(NodeState::new(config, mesh_address)?);
+    log::info!("event=started node={} mesh_address={mesh_address}", state.node_id);
+    let heartbeats = tokio::spawn(run_heartbeats(Arc::clone(&state)));
+    let ticks = tokio::spawn(run_ticks(Arc::clone(&state)));
+    let probes = tokio::spawn(run_probes(Arc::clone(&state)));
+    for (listener, kind) in [
+        (entry, ListenerKind::Entry),
+        (mesh, ListenerKind::Mesh),
+        (local, ListenerKind::Local),
+    ] {
+        tokio::spawn(serve_listener(Arc::clone(&state), listener, kind));
+    }
+    stop_signals.first().await;
+    // Further signals are received and ignored, so that they do not end the process early.
+    tokio::spawn(async move { stop_signals.ignore().await });
+    stop(&state).await;
+    for task in [heartbeats, ticks, probes] {
+        task.abort();
+    }
+    Ok(())
+}
+
+async fn bind(address: SocketAddr, kind: ListenerKind) -> Result<TcpListener> {
+    let failed = |source| {
+        let action = format!("cannot listen on {address} ({})", kind.as_str());
+        MeshError::io(action, source)
+    };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    log::info!("event=listening listener={} address={bound}", kind.as_str());
+    Ok(listener)
+}
+
+// A port of 0 stands for the port that the mesh listener got.
+fn advertised_address(config: &NodeConfig, mesh: &TcpListener) -> Result<SocketAddr> {
+    let bound = mesh
+        .local_addr()
+        .map_err(|source| MeshError::io("cannot read the mesh address", source))?;
+    let mut advertised = config.advertise_address.unwrap_or(bound);
+    if advertised.port() == 0 {
+        advertised.set_port(bound.port());
+    }
+    Ok(advertised)
+}
+
+async fn stop(state: &Arc<NodeState>) {
+    let started = Instant::now();
+    let bound = state.config.stop_timeout;
+    let deadline = started + bound.saturating_sub(STOP_RESERVE).max(bound / 2);
+    state.advance(LifecycleEvent::StopRequested);
+    lock(&state.target).withdraw();
+    // A replica that does not answer must not hold up the end of the work.
+    let _ = timeout_at(deadline, send_last_heartbeat(state)).await;
+    let linger = LINGER.min(bound / 4);
+    let _ = timeout_at(deadline, sleep(linger)).await;
+    let drained = timeout_at(deadline, wait_for_work(state)).await.is_ok();
+    state.closing.cancel();
+    state.tasks.close();
+    let closed = timeout_at(started + bound, state.tasks.wait()).await.is_ok();
+    state.advance(LifecycleEvent::WorkEnded);
+    let left = lock(&state.attempts).len();
+    log::info!("event=stopped drained={drained} closed={closed} attempts_left={left}");
+}
+
+async fn wait_for_work(state: &NodeState) {
+    while !state.is_idle() {
+        sleep(DRAIN_POLL).await;
+    }
+}
+
+#[derive(Debug)]
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn new() -> Result<Self> {
+        let failed = |source| MeshError::io("cannot receive signals", source);
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).map_err(failed)?,
+            interrupt: signal(SignalKind::interrupt()).map_err(failed)?,
+        })
+    }
+
+    async fn first(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+
+    async fn ignore(&mut self) {
+        loop {
+            self.first().await;
+            log::info!("event=stop_requested_again");
+        }
+    }
+}
--- /dev/null
+++ b/src/node/state.rs
@@ -0,0 +1,240 @@
+//! State that the tasks of one node share.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use cadence::{Counted, StatsdClient, Timed};
+use http::HeaderValue;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::admission::AdmissionSettings;
+use crate::config::NodeConfig;
+use crate::control_client::ControlClient;
+use crate::decisions::DecisionLog;
+use crate::error::{MeshError, Result};
+use crate::plans::{CallerEntry, PlanBook, PlanEntry};
+use crate::proxy::{AttemptTable, EntryMemory, MeshClient, new_client};
+use crate::retry::{CancelTable, RetryBudget, RetryPolicy, RetrySettings};
+use crate::routing::{RoutingSettings, TargetTable};
+use crate::shares::ShareBucket;
+use crate::telemetry::metrics_client;
+use crate::types::{NodeId, RefusalReason, TickTime};
+
+use super::heartbeat::DirectoryPosition;
+use super::kept_answers::AnswerMemory;
+use super::lifecycle::LifecycleMachine;
+use super::target::TargetPlace;
+use super::{LifecycleEvent, NodePhase, PlanView};
+
+const METRIC_PREFIX: &str = "ebonyjunction.node";
+// The first request of a caller at a node waits this long for a share of the caller's rate.
+const SHARE_WAIT: Duration = Duration::from_millis(500);
+const MAX_SHARE_WAITERS: usize = 64;
+
+/// Locks a part of the state; a panic of another task leaves the part usable.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Retry rules with the budget that bounds them.
+#[derive(Debug)]
+pub(crate) struct RetryState {
+    pub(crate) policy: RetryPolicy,
+    pub(crate) budget: RetryBudget,
+}
+
+/// State of one node, in parts with a lock each.
+#[derive(Debug)]
+pub struct NodeState {
+    pub(crate) config: NodeConfig,
+    pub(crate) node_id: NodeId,
+    pub(crate) mesh_address: SocketAddr,
+    pub(crate) mesh_token: HeaderValue,
+    pub(crate) client: MeshClient,
+    pub(crate) control: ControlClient,
+    pub(crate) decisions: DecisionLog,
+    pub(crate) metrics: StatsdClient,
+    pub(crate) plans: Mutex<PlanView>,
+    pub(crate) target: Mutex<TargetPlace>,
+    pub(crate) routes: Mutex<TargetTable>,
+    pub(crate) shares: Mutex<ShareBucket>,
+    pub(crate) retries: Mutex<RetryState>,
+    pub(crate) attempts: Mutex<AttemptTable>,
+    pub(crate) cancelled: Mutex<CancelTable>,
+    pub(crate) answers: Mutex<AnswerMemory>,
+    pub(crate) entries: Mutex<EntryMemory>,
+    pub(crate) directory: Mutex<DirectoryPosition>,
+    pub(crate) rng: Mutex<SmallRng>,
+    lifecycle: Mutex<LifecycleMachine>,
+    /// Wakes the heartbeat loop when the directory must learn of a change.
+    pub(crate) announced: Notify,
+    /// Wakes the heartbeat loop when a caller has no share of its rate here.
+    pub(crate) rate_wanted: Notify,
+    /// Wakes requests that wait for a share.
+    pub(crate) rate_granted: Notify,
+    rate_waiters: AtomicUsize,
+    /// Cancelled when listeners and connections must close.
+    pub(crate) closing: CancellationToken,
+    /// Connections and work that outlives its connection.
+    pub(crate) tasks: TaskTracker,
+    start: Instant,
+}
+
+impl NodeState {
+    /// Creates the state of a node whose mesh listener is bound to an address.
+    pub(crate) fn new(config: NodeConfig, mesh_address: SocketAddr) -> Result<Self> {
+        let mesh_token = HeaderValue::from_str(config.mesh_token.as_str())
+            .map_err(|error| MeshError::invalid("mesh token", error.to_string()))?;
+        let retry_settings = RetrySettings::default();
+        let admission_settings = AdmissionSettings {
+            queue_limit: config.queue_limit,
+            ..AdmissionSettings::default()
+        };
+        let node_id = NodeId::random();
+        Ok(Self {
+            node_id,
+            mesh_address,
+            mesh_token,
+            client: new_client(),
+            control: ControlClient::new(config.control.clone(), config.mesh_token.clone()),
+            decisions: DecisionLog::new(),
+            metrics: metrics_client(METRIC_PREFIX, config.metrics_address)?,
+            plans: Mutex::new(PlanView::new(config.plan_lease, config.stale_plans)),
+            target: Mutex::new(TargetPlace::new(admission_settings)),
+            routes: Mutex::new(TargetTable::new(
+                RoutingSettings::default(),
+                config.zone.clone(),
+                config.region.clone(),
+            )),
+            shares: Mutex::new(ShareBucket::new()),
+            retries: Mutex::new(RetryState {
+                policy: RetryPolicy::new(retry_settings),
+                budget: RetryBudget::new(retry_settings),
+            }),
+            attempts: Mutex::default(),
+            cancelled: Mutex::new(CancelTable::new()),
+            answers: Mutex::default(),
+            entries: Mutex::default(),
+            directory: Mutex::default(),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed_from(node_id))),
+            lifecycle: Mutex::new(LifecycleMachine::new()),
+            announced: Notify::new(),
+            rate_wanted: Notify::new(),
+            rate_granted: Notify::new(),
+            rate_waiters: AtomicUsize::new(0),
+            closing: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            start: Instant::now(),
+            config,
+        })
+    }
+
+    /// Returns the time since the node started.
+    pub(crate) fn now(&self) -> TickTime {
+        TickTime::from_start(self.start.elapsed())
+    }
+
+    /// Returns the phase of the process.
+    pub(crate) fn phase(&self) -> NodePhase {
+        lock(&self.lifecycle).phase()
+    }
+
+    /// Returns whether new work is refused because the process stops.
+    pub(crate) fn is_stopping(&self) -> bool {
+        matches!(self.phase(), NodePhase::Draining | NodePhase::Stopped)
+    }
+
+    /// Applies an event of the lifecycle and logs a change of phase.
+    pub(crate) fn advance(&self, event: LifecycleEvent) -> bool {
+        let (before, after) = lock(&self.lifecycle).apply(event);
+        if before != after {
+            log::info!("event=phase from={before:?} to={after:?}");
+        }
+        before != after
+    }
+
+    /// Returns the plans under which work may be admitted now.
+    pub(crate) fn usable_plans(&self) -> Option<Arc<PlanBook>> {
+        lock(&self.plans).usable(self.now())
+    }
+
+    /// Returns whether no attempt is in flight at the own target.
+    pub(crate) fn is_idle(&self) -> bool {
+        lock(&self.attempts).len() == 0
+    }
+
+    /// Takes a token of the caller's rate; the error is the time until a retry is worthwhile.
+    ///
+    /// A caller without a share at this node waits for an early heartbeat, so that its first request is not refused
+    /// only because no other came before.
+    pub(crate) async fn take_token(
+        &self,
+        caller: &CallerEntry,
+        plan: &PlanEntry,
+    ) -> Result<(), Duration> {
+        let granted = self.rate_granted.notified();
+        tokio::pin!(granted);
+        granted.as_mut().enable();
+        let wait = match self.try_token(caller, plan) {
+            Ok(()) => return Ok(()),
+            Err(wait) => wait,
+        };
+        self.rate_wanted.notify_one();
+        let has_share = lock(&self.shares).held_rate(self.now(), &caller.name) > 0;
+        if has_share || self.rate_waiters.fetch_add(1, Ordering::Relaxed) >= MAX_SHARE_WAITERS {
+            if !has_share {
+                self.rate_waiters.fetch_sub(1, Ordering::Relaxed);
+            }
+            return Err(wait);
+        }
+        let waiter = ShareWaiter(&self.rate_waiters);
+        let _ = timeout(SHARE_WAIT, granted).await;
+        drop(waiter);
+        self.try_token(caller, plan)
+    }
+
+    fn try_token(&self, caller: &CallerEntry, plan: &PlanEntry) -> Result<(), Duration> {
+        lock(&self.shares).take(self.now(), caller, plan)
+    }
+
+    /// Counts a refusal by reason.
+    pub(crate) fn count_refusal(&self, reason: RefusalReason) {
+        let metric = self.metrics.incr_with_tags("refusals");
+        metric.with_tag("reason", reason.as_str()).send();
+    }
+
+    /// Counts one event.
+    pub(crate) fn count(&self, name: &str) {
+        // Metrics are best effort: the sink drops them when it is full.
+        let _ = self.metrics.incr(name);
+    }
+
+    /// Reports a span that began at a time.
+    pub(crate) fn time(&self, name: &str, since: TickTime) {
+        let span = self.now().saturating_since(since);
+        let _ = self.metrics.time(name, span);
+    }
+}
+
+#[derive(Debug)]
+struct ShareWaiter<'a>(&'a AtomicUsize);
+
+impl Drop for ShareWaiter<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn seed_from(node_id: NodeId) -> u64 {
+    let bytes = node_id.as_bytes();
+    bytes
+        .iter()
+        .fold(0, |seed: u64, byte| seed.rotate_left(8) ^ u64::from(*byte))
+}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -1,1 +1,30 @@
-//! HTTP servers and clients of a node.
+//! HTTP/1.1 servers and clients of a node: headers, bodies and attempts in flight.
+
+mod answer;
+mod attempts;
+mod body;
+mod cancel;
+mod claim;
+mod client;
+mod entry;
+mod entry_memory;
+mod hand_over;
+mod headers;
+mod hop;
+mod inbound;
+mod local;
+mod mesh;
+mod path;
+mod server;
+mod serving;
+
+pub use answer::{AnswerReport, HopAnswer, Refusal};
+pub(crate) use attempts::AttemptTable;
+pub(crate) use entry_memory::EntryMemory;
+pub use body::ProxyBody;
+pub(crate) use client::{MeshClient, new_client};
+pub use headers::{
+    CallPlace, decode_context, decode_report, encode_context, encode_report, strip_headers,
+};
+pub use path::ServicePath;
+pub(crate) use server::{ListenerKind, serve_listener};
--- /dev/null
+++ b/src/proxy/attempts.rs
@@ -0,0 +1,193 @@
+//! Table of attempts in flight at this node, and memory of ended ones.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio_util::sync::CancellationToken;
+
+use crate::node::{NodeState, lock};
+use crate::retry::AttemptAllowance;
+use crate::types::{AttemptContext, AttemptId, AttemptOutcome, TickTime};
+
+/// How long an ended attempt is remembered.
+const ENDED_RETENTION: Duration = Duration::from_secs(60);
+/// A cancellation that asks about an older attempt gets no proof.
+const PROOF_AGE: Duration = Duration::from_secs(50);
+
+/// Allowance that the calls of one attempt share.
+pub(crate) type SharedAllowance = Arc<Mutex<AttemptAllowance>>;
+
+/// What a cancellation proves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CancelVerdict {
+    /// The attempt was not and will not be handed over.
+    NotRun,
+    /// The attempt was handed over, or nothing is known about it.
+    Unknown,
+}
+
+/// Attempts in flight with what their child calls inherit.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptTable {
+    entries: BTreeMap<AttemptId, AttemptEntry>,
+    ended: BTreeMap<AttemptId, AttemptOutcome>,
+    ended_order: VecDeque<(TickTime, AttemptId)>,
+}
+
+#[derive(Debug)]
+struct AttemptEntry {
+    parent: ParentCall,
+    is_handed_over: bool,
+    // At-most-once work runs to its end once it is handed over, so that its outcome becomes known.
+    is_protected: bool,
+    is_cancelled: bool,
+}
+
+/// What child calls take from the attempt that makes them.
+#[derive(Debug, Clone)]
+pub(crate) struct ParentCall {
+    /// Context of the attempt.
+    pub(crate) context: Arc<AttemptContext>,
+    /// Allowance left for child calls.
+    pub(crate) allowance: SharedAllowance,
+    /// Cancelled when the attempt ends.
+    pub(crate) token: CancellationToken,
+}
+
+impl AttemptTable {
+    /// Finds an attempt in flight that was handed over.
+    pub(crate) fn parent(&self, id: AttemptId) -> Option<ParentCall> {
+        let entry = self.entries.get(&id)?;
+        entry.is_handed_over.then(|| entry.parent.clone())
+    }
+
+    /// Returns the number of attempts in flight.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Cancels an attempt sent `age` ago and reports what is proven.
+    pub(crate) fn cancel(&mut self, id: AttemptId, age: Duration) -> CancelVerdict {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.is_cancelled = true;
+            if !(entry.is_handed_over && entry.is_protected) {
+                entry.parent.token.cancel();
+            }
+            return if entry.is_handed_over {
+                CancelVerdict::Unknown
+            } else {
+                CancelVerdict::NotRun
+            };
+        }
+        match self.ended.get(&id) {
+            Some(AttemptOutcome::NotRun) => CancelVerdict::NotRun,
+            Some(_) => CancelVerdict::Unknown,
+            // An attempt that is neither in flight nor remembered never arrived, as long as the memory reaches back.
+            None if age < PROOF_AGE => CancelVerdict::NotRun,
+            None => CancelVerdict::Unknown,
+        }
+    }
+
+    /// Forgets attempts that ended long ago.
+    pub(crate) fn expire(&mut self, now: TickTime) {
+        while let Some((ended_at, id)) = self.ended_order.front().copied() {
+            if now.saturating_since(ended_at) < ENDED_RETENTION {
+                break;
+            }
+            self.ended_order.pop_front();
+            self.ended.remove(&id);
+        }
+    }
+
+    fn is_known(&self, id: AttemptId) -> bool {
+        self.entries.contains_key(&id) || self.ended.contains_key(&id)
+    }
+
+    fn end(&mut self, now: TickTime, id: AttemptId, outcome: AttemptOutcome) {
+        self.entries.remove(&id);
+        self.ended.insert(id, outcome);
+        self.ended_order.push_back((now, id));
+    }
+}
+
+/// Keeps an attempt in the table until it is dropped.
+#[derive(Debug)]
+pub(crate) struct AttemptGuard {
+    state: Arc<NodeState>,
+    parent: ParentCall,
+    outcome: AttemptOutcome,
+}
+
+impl AttemptGuard {
+    /// Enters an attempt; `None` if the same attempt came before.
+    pub(crate) fn enter(state: &Arc<NodeState>, context: Arc<AttemptContext>) -> Option<Self> {
+        let id = context.attempt_id;
+        let allowance = AttemptAllowance::new(context.allowance);
+        let parent = ParentCall {
+            context,
+            allowance: Arc::new(Mutex::new(allowance)),
+            token: CancellationToken::new(),
+        };
+        let mut table = lock(&state.attempts);
+        if table.is_known(id) {
+            return None;
+        }
+        let entry = AttemptEntry {
+            parent: parent.clone(),
+            is_handed_over: false,
+            is_protected: false,
+            is_cancelled: false,
+        };
+        table.entries.insert(id, entry);
+        Some(Self {
+            state: Arc::clone(state),
+            parent,
+            outcome: AttemptOutcome::NotRun,
+        })
+    }
+
+    /// Returns a token that is cancelled with the attempt.
+    pub(crate) fn token(&self) -> CancellationToken {
+        self.parent.token.clone()
+    }
+
+    /// Marks the attempt as handed over; false if it was cancelled before, so that it must not be.
+    pub(crate) fn begin_hand_over(&mut self, is_protected: bool) -> bool {
+        let id = self.parent.context.attempt_id;
+        let mut table = lock(&self.state.attempts);
+        let Some(entry) = table.entries.get_mut(&id) else {
+            return false;
+        };
+        if entry.is_cancelled || self.parent.token.is_cancelled() {
+            return false;
+        }
+        entry.is_handed_over = true;
+        entry.is_protected = is_protected;
+        self.outcome = AttemptOutcome::Unknown;
+        true
+    }
+
+    /// Notes what is known about the execution.
+    pub(crate) fn set_outcome(&mut self, outcome: AttemptOutcome) {
+        self.outcome = outcome;
+    }
+
+    /// Closes the allowance and returns what is left of it.
+    pub(crate) fn take_unspent(&self) -> u8 {
+        let mut allowance = lock(&self.parent.allowance);
+        let unspent = allowance.remaining();
+        // A child call made while the answer is already on its way must not spend what was reported as unspent.
+        *allowance = AttemptAllowance::new(0);
+        unspent
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        let now = self.state.now();
+        let id = self.parent.context.attempt_id;
+        lock(&self.state.attempts).end(now, id, self.outcome);
+        self.parent.token.cancel();
+    }
+}
--- /dev/null
+++ b/src/proxy/body.rs
@@ -0,0 +1,190 @@
+//! Bodies: small ones are held, large ones pass through without being held.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::Incoming;
+
+use crate::error::MeshError;
+
+/// Body of any message that a node sends.
+pub type ProxyBody = Either<Full<Bytes>, UnsyncBoxBody<Bytes, MeshError>>;
+
+/// Receives the end of a streamed body; dropping it unfinished means that the reader went away.
+pub(crate) trait StreamWatcher: Send + fmt::Debug {
+    /// Ends the exchange; `complete` tells whether every byte arrived.
+    fn finish(self: Box<Self>, complete: bool);
+}
+
+/// Body of a message that was received.
+#[derive(Debug)]
+pub(crate) enum ReadBody {
+    /// The complete body.
+    Whole(Bytes),
+    /// A body beyond the limit, with the part that was read already.
+    Streamed(StreamedBody),
+}
+
+/// Why a body could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReadFailure {
+    /// The body is larger than the configured bound.
+    TooLarge,
+    /// The sender broke off.
+    Broken,
+}
+
+/// Bounds on a body.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BodyBounds {
+    /// Largest body that is held.
+    pub(crate) whole_bytes: usize,
+    /// Largest body that is accepted.
+    pub(crate) max_bytes: u64,
+}
+
+/// Wraps a complete body.
+pub(crate) fn whole_body(bytes: Bytes) -> ProxyBody {
+    Either::Left(Full::new(bytes))
+}
+
+/// Reads a body up to the bound and leaves the rest to be streamed.
+pub(crate) async fn read_body(
+    mut incoming: Incoming,
+    bounds: BodyBounds,
+) -> Result<ReadBody, ReadFailure> {
+    let length = incoming.size_hint().exact();
+    if length.is_some_and(|length| length > bounds.max_bytes) {
+        return Err(ReadFailure::TooLarge);
+    }
+    let mut parts = VecDeque::new();
+    let mut read_bytes = 0;
+    let is_large = length.is_some_and(|length| length > bounds.whole_bytes as u64);
+    while !is_large {
+        let Some(frame) = incoming.frame().await else {
+            return Ok(ReadBody::Whole(join_parts(parts, read_bytes)));
+        };
+        let frame = frame.map_err(|_| ReadFailure::Broken)?;
+        // Trailers are dropped: they describe the framing of this hop.
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        read_bytes += data.len();
+        parts.push_back(data);
+        if read_bytes > bounds.whole_bytes {
+            break;
+        }
+    }
+    if read_bytes as u64 > bounds.max_bytes {
+        return Err(ReadFailure::TooLarge);
+    }
+    Ok(ReadBody::Streamed(StreamedBody {
+        parts,
+        incoming,
+        missing: length,
+        allowed: bounds.max_bytes,
+        watcher: None,
+    }))
+}
+
+fn join_parts(mut parts: VecDeque<Bytes>, length: usize) -> Bytes {
+    if parts.len() <= 1 {
+        return parts.pop_front().unwrap_or_default();
+    }
+    let mut joined = Vec::with_capacity(length);
+    for part in parts {
+        joined.extend_from_slice(&part);
+    }
+    joined.into()
+}
+
+/// Body that passes through; a break is an error, so that the receiver's connection is aborted.
+#[derive(Debug)]
+pub(crate) struct StreamedBody {
+    parts: VecDeque<Bytes>,
+    incoming: Incoming,
+    // Bytes still to come when the length was announced.
+    missing: Option<u64>,
+    // Bytes that may still come.
+    allowed: u64,
+    watcher: Option<Box<dyn StreamWatcher>>,
+}
+
+impl StreamedBody {
+    /// Reports the end of the body to a watcher.
+    pub(crate) fn watched_by(mut self, watcher: Box<dyn StreamWatcher>) -> Self {
+        self.watcher = Some(watcher);
+        self
+    }
+
+    /// Converts to the body of a message that the node sends.
+    pub(crate) fn into_proxy_body(self) -> ProxyBody {
+        Either::Right(self.boxed_unsync())
+    }
+
+    fn finish(&mut self, complete: bool) {
+        if let Some(watcher) = self.watcher.take() {
+            watcher.finish(complete);
+        }
+    }
+
+    fn take_data(&mut self, data: Bytes) -> Result<Frame<Bytes>, MeshError> {
+        let length = data.len() as u64;
+        let Some(allowed) = self.allowed.checked_sub(length) else {
+            self.finish(false);
+            return Err(MeshError::Http("the body exceeds its bound".to_owned()));
+        };
+        self.allowed = allowed;
+        if let Some(missing) = &mut self.missing {
+            *missing = missing.saturating_sub(length);
+            // The writer stops polling once it has the announced length.
+            if *missing == 0 {
+                self.finish(true);
+            }
+        }
+        Ok(Frame::data(data))
+    }
+}
+
+impl Body for StreamedBody {
+    type Data = Bytes;
+    type Error = MeshError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, MeshError>>> {
+        if let Some(data) = self.parts.pop_front() {
+            return Poll::Ready(Some(self.take_data(data)));
+        }
+        loop {
+            let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
+            match frame {
+                None => {
+                    self.finish(true);
+                    return Poll::Ready(None);
+                }
+                Some(Err(error)) => {
+                    self.finish(false);
+                    return Poll::Ready(Some(Err(MeshError::Http(error.to_string()))));
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Poll::Ready(Some(self.take_data(data)));
+                    }
+                }
+            }
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.missing
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
--- /dev/null
+++ b/src/proxy/client.rs
@@ -0,0 +1,78 @@
+//! HTTP/1.1 client with pools of kept connections.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Request, Response, Uri};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client, Error as ClientError};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use crate::error::{MeshError, Result};
+
+use super::body::ProxyBody;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+// Shorter than the idle bound of servers, so that a kept connection is rarely closed by the peer while it is reused.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+const MAX_IDLE_PER_PEER: usize = 64;
+
+/// Client for nodes and for the own target.
+pub(crate) type MeshClient = Client<HttpConnector, ProxyBody>;
+
+/// Failure to get an answer.
+#[derive(Debug)]
+pub(crate) struct SendFailure {
+    /// Whether it is proven that no byte of the request was written.
+    pub(crate) is_unsent: bool,
+    /// Whether no connection could be opened.
+    pub(crate) is_connect: bool,
+    /// Cause for people.
+    pub(crate) detail: String,
+}
+
+/// Creates the client of a node.
+pub(crate) fn new_client() -> MeshClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(MAX_IDLE_PER_PEER)
+        .pool_timer(TokioTimer::new())
+        .build(connector)
+}
+
+/// Builds the address of a request.
+pub(crate) fn peer_uri(address: SocketAddr, path_and_query: &str) -> Result<Uri> {
+    Uri::try_from(format!("http://{address}{path_and_query}"))
+        .map_err(|error| MeshError::invalid("path", error.to_string()))
+}
+
+/// Sends a request and waits for the head of the answer.
+pub(crate) async fn send(
+    client: &MeshClient,
+    request: Request<ProxyBody>,
+) -> std::result::Result<Response<Incoming>, SendFailure> {
+    client.request(request).await.map_err(describe)
+}
+
+fn describe(error: ClientError) -> SendFailure {
+    let is_connect = error.is_connect();
+    // A cancelled request is handed back by the connection before any byte of it is written.
+    let hyper_error = error.source().and_then(|source| source.downcast_ref());
+    let is_cancelled = hyper_error.is_some_and(hyper::Error::is_canceled);
+    let mut detail = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        detail = format!("{detail}: {cause}");
+        source = cause.source();
+    }
+    SendFailure {
+        is_unsent: is_connect || is_cancelled,
+        is_connect,
+        detail,
+    }
+}
--- /dev/null
+++ b/src/proxy/entry_memory.rs
@@ -0,0 +1,100 @@
+//! Memory of requests that an entry node took in.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::node::{NodeState, lock};
+use crate::retry::{AttemptAllowance, ResendDecision, ResendTable};
+use crate::types::{AttemptOutcome, CallerName, RequestId, TickTime};
+
+use super::attempts::SharedAllowance;
+
+const UNCERTAIN_RETENTION: Duration = Duration::from_secs(60);
+
+/// Recognises resends and remembers which requests may have run.
+#[derive(Debug, Default)]
+pub(crate) struct EntryMemory {
+    resends: ResendTable,
+    uncertain: BTreeSet<RequestId>,
+    uncertain_order: VecDeque<(TickTime, RequestId)>,
+}
+
+impl EntryMemory {
+    /// Returns whether an earlier send of the request may have run.
+    pub(crate) fn may_have_run(&self, id: RequestId) -> bool {
+        self.uncertain.contains(&id)
+    }
+
+    /// Forgets old requests.
+    pub(crate) fn expire(&mut self, now: TickTime) {
+        self.resends.expire(now);
+        while let Some((noted_at, id)) = self.uncertain_order.front().copied() {
+            if now.saturating_since(noted_at) < UNCERTAIN_RETENTION {
+                break;
+            }
+            self.uncertain_order.pop_front();
+            self.uncertain.remove(&id);
+        }
+    }
+
+    fn note_uncertain(&mut self, now: TickTime, id: RequestId) {
+        if self.uncertain.insert(id) {
+            self.uncertain_order.push_back((now, id));
+        }
+    }
+}
+
+/// Request in flight at its entry; dropping it reports what is left of its allowance.
+#[derive(Debug)]
+pub(crate) struct EntryRequest {
+    state: Arc<NodeState>,
+    caller: CallerName,
+    id: RequestId,
+    allowance: SharedAllowance,
+    outcome: AttemptOutcome,
+}
+
+impl EntryRequest {
+    /// Takes a request in with the attempts it may spend; `None` while the same request is in flight.
+    pub(crate) fn begin(
+        state: &Arc<NodeState>,
+        caller: &CallerName,
+        id: RequestId,
+        attempts: u8,
+        allowance: &SharedAllowance,
+    ) -> Option<Self> {
+        let now = state.now();
+        let decision = lock(&state.entries).resends.begin(now, caller, id, attempts);
+        let remaining = match decision {
+            ResendDecision::First => attempts,
+            ResendDecision::Resend { remaining } => remaining,
+            ResendDecision::InFlight => return None,
+        };
+        *lock(allowance) = AttemptAllowance::new(remaining);
+        Some(Self {
+            state: Arc::clone(state),
+            caller: caller.clone(),
+            id,
+            allowance: Arc::clone(allowance),
+            outcome: AttemptOutcome::Unknown,
+        })
+    }
+
+    /// Notes what is known about the execution.
+    pub(crate) fn set_outcome(&mut self, outcome: AttemptOutcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for EntryRequest {
+    fn drop(&mut self) {
+        let now = self.state.now();
+        let remaining = lock(&self.allowance).remaining();
+        let mut entries = lock(&self.state.entries);
+        entries.resends.finish(now, &self.caller, self.id, remaining);
+        if self.outcome != AttemptOutcome::NotRun {
+            entries.note_uncertain(now, self.id);
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/hand_over.rs
@@ -0,0 +1,391 @@
+//! Work for the own target: checks, admission, claim, hand-over and answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::admission::WorkResult;
+use crate::generated::ClaimOutcome;
+use crate::node::{AnswerScope, KeptAnswer, NodeState, lock};
+use crate::routing::LoadReport;
+use crate::types::{AttemptContext, AttemptOutcome, RefusalReason};
+
+use super::attempts::AttemptGuard;
+use super::body::{ProxyBody, ReadBody, StreamWatcher, StreamedBody, whole_body};
+use super::claim::{ClaimRefusal, claim, scope_of, settle};
+use super::client::{peer_uri, send};
+use super::headers::{ATTEMPT_ID, REQUEST_ID, TIMEOUT_MS, set};
+use super::inbound::{InboundAnswer, OutboundCall, build_response};
+use super::serving::{SlotTicket, admit};
+use super::{AnswerReport, HopAnswer, Refusal};
+
+// Everything that one attempt holds while it is served.
+#[derive(Debug)]
+struct ServedAttempt {
+    state: Arc<NodeState>,
+    context: Arc<AttemptContext>,
+    guard: AttemptGuard,
+    ticket: SlotTicket,
+    call: OutboundCall,
+}
+
+/// Serves an attempt at the own target.
+pub(crate) async fn serve(
+    state: &Arc<NodeState>,
+    context: AttemptContext,
+    call: OutboundCall,
+) -> HopAnswer {
+    let started_at = state.now();
+    let context = Arc::new(context);
+    let mut answer = match serve_checked(state, &context, call).await {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            let is_unspent = refusal.outcome == AttemptOutcome::NotRun;
+            let unspent = if is_unspent { context.allowance } else { 0 };
+            refusal.into_answer(context.request_id, unspent)
+        }
+    };
+    answer.report.load = load_report(state, &context.endpoint);
+    let reason = answer.report.reason.map_or("", |reason| reason.as_str());
+    let span_ms = state.now().saturating_since(started_at).as_millis();
+    state.decisions.record(
+        context.request_id,
+        "served",
+        &[
+            ("attempt_id", &context.attempt_id),
+            ("via", &context.via),
+            ("endpoint", &context.endpoint),
+            ("class", &context.class),
+            ("outcome", &answer.report.outcome),
+            ("reason", &reason),
+            ("status", &answer.response.status().as_u16()),
+            ("span_ms", &span_ms),
+        ],
+    );
+    if let Some(reason) = answer.report.reason {
+        state.count_refusal(reason);
+    }
+    state.time("served", started_at);
+    answer
+}
+
+async fn serve_checked(
+    state: &Arc<NodeState>,
+    context: &Arc<AttemptContext>,
+    call: OutboundCall,
+) -> Result<HopAnswer, Refusal> {
+    let claim_scope = check_grant(state, context, &call)?;
+    check_ready(state, context)?;
+    let guard = AttemptGuard::enter(state, Arc::clone(context)).ok_or_else(|| {
+        let detail = "the same attempt came before";
+        Refusal::unknown(RefusalReason::DuplicateInFlight, detail)
+    })?;
+    // Checked after the attempt is in the table, so that no cancellation falls between the two.
+    if lock(&state.cancelled).is_cancelled(context.attempt_id) {
+        return Err(cancelled());
+    }
+    let token = guard.token();
+    let ticket = admit(state, context, &token).await?;
+    let attempt = ServedAttempt {
+        state: Arc::clone(state),
+        context: Arc::clone(context),
+        guard,
+        ticket,
+        call,
+    };
+    let Some(scope) = claim_scope else {
+        return run_plain(attempt).await;
+    };
+    // Goes on if the sender goes away, so that a claim is always settled.
+    let sender = token.drop_guard();
+    let task = state.tasks.spawn(run_claimed(attempt, scope));
+    let answer = task.await;
+    sender.disarm();
+    answer.unwrap_or_else(|error| {
+        let detail = format!("the attempt broke off: {error}");
+        Err(Refusal::unknown(RefusalReason::AnswerLost, detail))
+    })
+}
+
+fn check_grant(
+    state: &NodeState,
+    context: &AttemptContext,
+    call: &OutboundCall,
+) -> Result<Option<AnswerScope>, Refusal> {
+    let book = state.usable_plans().ok_or_else(plan_stale)?;
+    let caller = book.caller_named(&context.via);
+    let grant = caller
+        .and_then(|caller| book.find_grant(caller, &context.service, &call.path.path))
+        .ok_or_else(|| {
+            let detail = format!("{} has no grant here", context.via);
+            Refusal::not_run(RefusalReason::NotGranted, detail)
+        })?;
+    if !grant.at_most_once {
+        return Ok(None);
+    }
+    scope_of(context).map(Some).ok_or_else(|| {
+        let detail = "this path needs an Idempotency-Key that is a UUID version 7";
+        Refusal::not_run(RefusalReason::KeyRequired, detail)
+    })
+}
+
+fn check_ready(state: &NodeState, context: &AttemptContext) -> Result<(), Refusal> {
+    if state.is_stopping() || lock(&state.target).is_leaving() {
+        let detail = "the target is leaving";
+        return Err(Refusal::not_run(RefusalReason::TargetLeaving, detail));
+    }
+    if state.now() >= context.deadline {
+        let detail = "the deadline passed before the attempt arrived";
+        return Err(Refusal::not_run(RefusalReason::DeadlineExceeded, detail));
+    }
+    Ok(())
+}
+
+async fn run_plain(attempt: ServedAttempt) -> Result<HopAnswer, Refusal> {
+    let token = attempt.guard.token();
+    let mut attempt = attempt;
+    if !attempt.guard.begin_hand_over(false) {
+        return Err(cancelled());
+    }
+    let exchange = exchange(&mut attempt);
+    let answer = tokio::select! {
+        answer = exchange => answer,
+        () = token.cancelled() => {
+            let detail = "cancelled after hand-over";
+            Err(Refusal::unknown(RefusalReason::Cancelled, detail))
+        }
+    };
+    finish(attempt, answer)
+}
+
+async fn run_claimed(attempt: ServedAttempt, scope: AnswerScope) -> Result<HopAnswer, Refusal> {
+    let mut attempt = attempt;
+    let state = Arc::clone(&attempt.state);
+    let id = attempt.context.attempt_id;
+    match claim(&state, &scope, &attempt.context).await {
+        Ok(()) => {}
+        Err(ClaimRefusal::Refused(refusal)) => {
+            attempt.guard.set_outcome(refusal.outcome);
+            return Err(refusal);
+        }
+        Err(ClaimRefusal::Kept(kept)) => {
+            attempt.guard.set_outcome(AttemptOutcome::Ran);
+            let report = ran_report(&attempt);
+            return Ok(HopAnswer {
+                response: kept.into_response(),
+                report,
+            });
+        }
+    }
+    let is_late = state.now() >= attempt.context.deadline;
+    if is_late || !attempt.guard.begin_hand_over(true) {
+        settle(&state, &scope, id, ClaimOutcome::Released);
+        return Err(if is_late {
+            let detail = "the deadline passed while the key was claimed";
+            Refusal::not_run(RefusalReason::DeadlineExceeded, detail)
+        } else {
+            cancelled()
+        });
+    }
+    let answer = exchange(&mut attempt).await;
+    match &answer {
+        Ok(answer) => {
+            keep_answer(&state, &scope, answer);
+            settle(&state, &scope, id, ClaimOutcome::Done);
+        }
+        Err(refusal) if refusal.outcome == AttemptOutcome::NotRun => {
+            settle(&state, &scope, id, ClaimOutcome::Released);
+        }
+        // The claim stays, so that work which may have run never runs again.
+        Err(_) => {}
+    }
+    finish(attempt, answer)
+}
+
+fn keep_answer(state: &NodeState, scope: &AnswerScope, answer: &InboundAnswer) {
+    if let ReadBody::Whole(body) = &answer.body {
+        let kept = KeptAnswer {
+            status: answer.status,
+            headers: answer.headers.clone(),
+            body: body.clone(),
+        };
+        lock(&state.answers).keep(scope.clone(), kept);
+    }
+}
+
+// Sends the request to the target and reads its answer within the deadline.
+async fn exchange(attempt: &mut ServedAttempt) -> Result<InboundAnswer, Refusal> {
+    let state = Arc::clone(&attempt.state);
+    let time_left = attempt.context.deadline.saturating_since(state.now());
+    let method = attempt.call.method.clone();
+    let (request, epoch) = target_request(attempt, time_left)?;
+    attempt.ticket.set_result(WorkResult::Failure);
+    let exchange = async {
+        let response: Response<Incoming> = match send(&state.client, request).await {
+            Ok(response) => response,
+            Err(failure) if failure.is_unsent => {
+                if failure.is_connect {
+                    state.note_reachable(epoch, false);
+                }
+                return Err(Refusal::not_run(RefusalReason::TargetDown, failure.detail));
+            }
+            Err(failure) => {
+                return Err(Refusal::unknown(RefusalReason::AnswerLost, failure.detail));
+            }
+        };
+        let answer = InboundAnswer::receive(&state, response, &method).await;
+        answer.ok_or_else(|| {
+            let detail = "the target's answer is incomplete";
+            Refusal::unknown(RefusalReason::AnswerLost, detail)
+        })
+    };
+    let answer = timeout(time_left, exchange).await.unwrap_or_else(|_| {
+        let detail = "the deadline passed while the target worked";
+        Err(Refusal::unknown(RefusalReason::DeadlineExceeded, detail))
+    });
+    if matches!(&answer, Err(refusal) if refusal.outcome == AttemptOutcome::NotRun) {
+        attempt.ticket.set_result(WorkResult::NotStarted);
+    }
+    answer
+}
+
+fn target_request(
+    attempt: &mut ServedAttempt,
+    time_left: Duration,
+) -> Result<(Request<ProxyBody>, u64), Refusal> {
+    let (address, epoch) = {
+        let target = lock(&attempt.state.target);
+        let announcement = target.announcement();
+        let address = announcement.map(|(announcement, _)| announcement.address);
+        (address, target.epoch())
+    };
+    let address = address.ok_or_else(|| {
+        let detail = "no target announced itself";
+        Refusal::not_run(RefusalReason::NoTarget, detail)
+    })?;
+    let call = attempt.call.for_attempt();
+    let uri = peer_uri(address, &call.path.path_and_query)
+        .map_err(|error| Refusal::not_run(RefusalReason::BadRequest, error.to_string()))?;
+    let mut request = Request::new(());
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = uri;
+    *request.headers_mut() = call.headers.clone();
+    let headers = request.headers_mut();
+    set(headers, ATTEMPT_ID, &attempt.context.attempt_id.to_string());
+    set(headers, REQUEST_ID, &attempt.context.request_id.to_string());
+    headers.insert(TIMEOUT_MS, (time_left.as_millis() as u64).into());
+    Ok((request.map(|()| call.into_body()), epoch))
+}
+
+// Ends the attempt, or lets it end with the last byte of a streamed answer.
+fn finish(
+    mut attempt: ServedAttempt,
+    answer: Result<InboundAnswer, Refusal>,
+) -> Result<HopAnswer, Refusal> {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            attempt.guard.set_outcome(refusal.outcome);
+            let unspent = attempt.guard.take_unspent();
+            return Ok(refusal.into_answer(attempt.context.request_id, unspent));
+        }
+    };
+    let report = ran_report(&attempt);
+    let is_failure = answer.status.is_server_error();
+    let body = match answer.body {
+        ReadBody::Whole(bytes) => {
+            attempt.end(true, is_failure);
+            whole_body(bytes)
+        }
+        ReadBody::Streamed(body) => watch(body, attempt, is_failure).into_proxy_body(),
+    };
+    Ok(HopAnswer {
+        response: build_response(answer.status, answer.headers, body),
+        report,
+    })
+}
+
+fn ran_report(attempt: &ServedAttempt) -> AnswerReport {
+    AnswerReport {
+        outcome: AttemptOutcome::Ran,
+        reason: None,
+        unspent: attempt.guard.take_unspent(),
+        load: no_load(),
+    }
+}
+
+impl ServedAttempt {
+    fn end(&mut self, is_complete: bool, is_failure: bool) {
+        if is_complete {
+            self.guard.set_outcome(AttemptOutcome::Ran);
+        }
+        if is_complete && !is_failure {
+            self.ticket.set_result(WorkResult::Success);
+        }
+    }
+}
+
+#[derive(Debug)]
+struct AnswerWatcher {
+    attempt: ServedAttempt,
+    is_failure: bool,
+}
+
+impl StreamWatcher for AnswerWatcher {
+    fn finish(mut self: Box<Self>, complete: bool) {
+        let is_failure = self.is_failure;
+        self.attempt.end(complete, is_failure);
+    }
+}
+
+fn watch(body: StreamedBody, attempt: ServedAttempt, is_failure: bool) -> StreamedBody {
+    body.watched_by(Box::new(AnswerWatcher {
+        attempt,
+        is_failure,
+    }))
+}
+
+/// Reports the load of the own target for calls under one endpoint.
+pub(crate) fn load_report(state: &NodeState, endpoint: &str) -> LoadReport {
+    let (load, is_leaving) = {
+        let target = lock(&state.target);
+        (target.load(), target.is_leaving())
+    };
+    let leaving = is_leaving || state.is_stopping();
+    let Some((own_level, wait)) = load else {
+        return LoadReport {
+            leaving,
+            ..no_load()
+        };
+    };
+    let now = state.now();
+    let level = lock(&state.routes).advertised_level(now, endpoint, own_level);
+    LoadReport {
+        level: Some(level),
+        queue_wait: Some(wait),
+        leaving,
+    }
+}
+
+const fn no_load() -> LoadReport {
+    LoadReport {
+        level: None,
+        queue_wait: None,
+        leaving: false,
+    }
+}
+
+fn cancelled() -> Refusal {
+    Refusal::not_run(RefusalReason::Cancelled, "cancelled before hand-over")
+}
+
+/// Refuses work because the plans are not confirmed.
+pub(crate) fn plan_stale() -> Refusal {
+    Refusal::not_run(
+        RefusalReason::PlanStale,
+        "the node could not confirm its plans",
+    )
+}
