--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The design is described in `docs/design.md`.
 
 pub mod admission;
+pub mod call;
 pub mod command;
 pub mod config;
 pub mod consensus;
