--- /dev/null
+++ b/src/directory/convert.rs
@@ -0,0 +1,101 @@
+//! Conversion between generated messages and the checked types of the directory.
+
+use crate::error::{MeshError, Result};
+use crate::generated::{DirectoryDelta, NodeInfo, TargetInfo, TargetState as StateMessage};
+use crate::routing::{DirectoryUpdate, TargetRecord, TargetState};
+use crate::types::NodeId;
+
+const MAX_SLOTS: u32 = 1_000_000;
+
+impl TargetRecord {
+    /// Checks an announcement; a node without a target gives `None`.
+    pub fn from_node(node: &NodeInfo) -> Result<Option<Self>> {
+        let node_id = NodeId::try_from(node.node_id.as_ref())?;
+        let address = node
+            .mesh_address
+            .parse()
+            .map_err(|_| MeshError::invalid("mesh_address", "must be IP:PORT"))?;
+        let zone = node.zone.as_str().try_into()?;
+        let region = node.region.as_str().try_into()?;
+        let Some(target) = &node.target else {
+            return Ok(None);
+        };
+        if !(1..=MAX_SLOTS).contains(&target.slots) {
+            return Err(MeshError::invalid("slots", "must be 1 to 1000000"));
+        }
+        Ok(Some(Self {
+            node_id,
+            service: target.service.as_str().try_into()?,
+            address,
+            zone,
+            region,
+            slots: target.slots,
+            connections: target.connections,
+            state: target.state.try_into()?,
+        }))
+    }
+}
+
+impl TryFrom<&NodeInfo> for TargetRecord {
+    type Error = MeshError;
+
+    fn try_from(node: &NodeInfo) -> Result<Self> {
+        Self::from_node(node)?.ok_or_else(|| MeshError::invalid("target", "is missing"))
+    }
+}
+
+impl TryFrom<i32> for TargetState {
+    type Error = MeshError;
+
+    fn try_from(raw: i32) -> Result<Self> {
+        match StateMessage::try_from(raw) {
+            Ok(StateMessage::Ready) => Ok(Self::Ready),
+            Ok(StateMessage::Leaving) => Ok(Self::Leaving),
+            Ok(StateMessage::Down) => Ok(Self::Down),
+            Ok(StateMessage::Unspecified) | Err(_) => {
+                Err(MeshError::invalid("target state", format!("{raw}")))
+            }
+        }
+    }
+}
+
+impl From<TargetState> for StateMessage {
+    fn from(state: TargetState) -> Self {
+        match state {
+            TargetState::Ready => Self::Ready,
+            TargetState::Leaving => Self::Leaving,
+            TargetState::Down => Self::Down,
+        }
+    }
+}
+
+impl From<&TargetRecord> for NodeInfo {
+    fn from(record: &TargetRecord) -> Self {
+        Self {
+            node_id: record.node_id.as_bytes().to_vec().into(),
+            zone: record.zone.to_string(),
+            region: record.region.to_string(),
+            mesh_address: record.address.to_string(),
+            target: Some(TargetInfo {
+                service: record.service.to_string(),
+                slots: record.slots,
+                connections: record.connections,
+                state: StateMessage::from(record.state).into(),
+            }),
+        }
+    }
+}
+
+impl TryFrom<DirectoryDelta> for DirectoryUpdate {
+    type Error = MeshError;
+
+    fn try_from(delta: DirectoryDelta) -> Result<Self> {
+        let changed = delta.changed.iter().map(TargetRecord::try_from);
+        let removed = delta.removed.iter().map(|id| NodeId::try_from(id.as_ref()));
+        Ok(Self {
+            full: delta.full,
+            changed: changed.collect::<Result<_>>()?,
+            removed: removed.collect::<Result<_>>()?,
+        })
+    }
+}
--- /dev/null
+++ b/src/routing/choice.rs
@@ -0,0 +1,293 @@
+//! Choice of one target among the candidates.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{Rng, RngCore};
+
+use crate::types::{NodeId, PriorityClass, RefusalReason, RequestPriority, ServiceName, TickTime};
+
+use super::levels::EndpointLevels;
+use super::table::{PathTier, ServiceTargets, TargetSlot};
+use super::{RoutingSettings, TargetKey, TargetTable};
+
+/// Chance that a request is sent to a target that must prove its recovery.
+const RECOVERY_CHANCE: f64 = 0.1;
+/// The same for critical work, which should not be risked while there is other work.
+const CRITICAL_RECOVERY_CHANCE: f64 = 0.01;
+/// Time until a retry is worthwhile when no target can be chosen.
+const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
+const MIN_LEVEL_RETRY_S: f64 = 0.25;
+const MAX_LEVEL_RETRY_S: f64 = 5.0;
+/// Refused callers are spread over plus or minus this part of the delay.
+const RETRY_JITTER: f64 = 0.25;
+
+/// What is to be sent.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteRequest<'a> {
+    /// Called service.
+    pub service: &'a ServiceName,
+    /// First segment of the path.
+    pub endpoint: &'a str,
+    /// Shedding order of the request.
+    pub priority: RequestPriority,
+    /// Targets that earlier attempts of this call went to.
+    pub excluded: &'a [TargetKey],
+}
+
+/// Chosen target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteChoice {
+    /// Key for `start` and `record`.
+    pub key: TargetKey,
+    /// Node beside the target.
+    pub node_id: NodeId,
+    /// Mesh address of that node.
+    pub address: SocketAddr,
+}
+
+/// Result of a choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteDecision {
+    /// Send to this target.
+    Send(RouteChoice),
+    /// Refuse the request; it has not run.
+    Refuse {
+        /// Reason reported to the caller.
+        reason: RefusalReason,
+        /// Jittered time until a retry is worthwhile.
+        retry_after: Duration,
+    },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RouteCandidate {
+    key: TargetKey,
+    tier: PathTier,
+    weight: f64,
+    // Expected completion, for a choice among targets at the same distance.
+    completion_s: f64,
+    // Expected completion with path cost, for a choice between distances.
+    spill_s: f64,
+    level: RequestPriority,
+}
+
+impl TargetTable {
+    /// Chooses a target, or refuses the request if it would be shed or no target is left.
+    pub fn choose(
+        &mut self,
+        now: TickTime,
+        request: &RouteRequest<'_>,
+        rng: &mut dyn RngCore,
+    ) -> RouteDecision {
+        self.note_called(now, request.service);
+        let Some(service) = self.by_service.get(request.service) else {
+            return refuse(
+                self.absence_reason(now, request.service),
+                NO_TARGET_RETRY,
+                rng,
+            );
+        };
+        for key in &service.keys {
+            self.targets[*key].refresh(now, &self.settings);
+        }
+        let mut candidates = self.candidates(now, service, request);
+        if let Some(refusal) = self.apply_levels(request.priority, &mut candidates, rng) {
+            return refusal;
+        }
+        let is_last_resort = candidates.is_empty();
+        let probe = self.recovery_probe(service, request, is_last_resort, rng);
+        let chosen = probe.or_else(|| choose_candidate(&candidates, rng));
+        chosen.map_or_else(
+            || refuse(RefusalReason::NoTarget, NO_TARGET_RETRY, &mut *rng),
+            |key| self.send(key),
+        )
+    }
+
+    fn absence_reason(&self, now: TickTime, service: &ServiceName) -> RefusalReason {
+        if self.was_asked_for(now, service) {
+            RefusalReason::UnknownService
+        } else {
+            RefusalReason::NoTarget
+        }
+    }
+
+    fn send(&self, key: TargetKey) -> RouteDecision {
+        let slot = &self.targets[key];
+        RouteDecision::Send(RouteChoice {
+            key,
+            node_id: slot.node_id,
+            address: slot.address,
+        })
+    }
+
+    fn candidates(
+        &self,
+        now: TickTime,
+        service: &ServiceTargets,
+        request: &RouteRequest<'_>,
+    ) -> Vec<RouteCandidate> {
+        let half_life = self.settings.level_half_life;
+        let levels = service.levels.endpoint(request.endpoint);
+        let median = levels.map(|levels| levels.median(now, half_life));
+        let level_of = |key: TargetKey| {
+            let own =
+                levels.and_then(|levels: &EndpointLevels| levels.of_target(now, half_life, key));
+            own.or(median).unwrap_or(RequestPriority::from_raw(0))
+        };
+        let first_s = self.settings.first_latency.as_secs_f64();
+        let typical_s = service.typical_s.unwrap_or(first_s);
+        let keys = service.keys.iter().copied();
+        let keys = keys.filter(|key| !request.excluded.contains(key));
+        let slots = keys.map(|key| (key, &self.targets[key]));
+        slots
+            .filter(|(_, slot)| slot.is_candidate())
+            .map(|(key, slot)| RouteCandidate {
+                level: level_of(key),
+                ..slot.candidate(now, key, typical_s, &self.settings)
+            })
+            .collect()
+    }
+
+    /// Removes candidates whose level shuts the request out; refuses if none is left.
+    fn apply_levels(
+        &self,
+        priority: RequestPriority,
+        candidates: &mut Vec<RouteCandidate>,
+        rng: &mut dyn RngCore,
+    ) -> Option<RouteDecision> {
+        let levels = candidates.iter().map(|candidate| candidate.level);
+        let (lowest, highest) = (levels.clone().min()?, levels.max()?);
+        if highest <= priority {
+            return None;
+        }
+        // A probe of a lower class must not run while the level sheds a higher class.
+        let is_probe = rng.random_bool(self.settings.probe_share);
+        if is_probe && priority.class() >= highest.class() {
+            return None;
+        }
+        if lowest > priority {
+            let delay = time_until_admitted(lowest, priority, self.settings.level_half_life);
+            return Some(refuse(RefusalReason::AdmissionLevel, delay, rng));
+        }
+        candidates.retain(|candidate| candidate.level <= priority);
+        None
+    }
+
+    fn recovery_probe(
+        &self,
+        service: &ServiceTargets,
+        request: &RouteRequest<'_>,
+        is_last_resort: bool,
+        rng: &mut dyn RngCore,
+    ) -> Option<TargetKey> {
+        let mut keys = service.keys.iter().copied();
+        let key = keys.find(|key| {
+            self.targets[*key].is_awaiting_probe() && !request.excluded.contains(key)
+        })?;
+        let chance = if is_last_resort {
+            1.0
+        } else if request.priority.class() == PriorityClass::Critical {
+            CRITICAL_RECOVERY_CHANCE
+        } else {
+            RECOVERY_CHANCE
+        };
+        rng.random_bool(chance).then_some(key)
+    }
+}
+
+impl TargetSlot {
+    fn candidate(
+        &self,
+        now: TickTime,
+        key: TargetKey,
+        typical_s: f64,
+        settings: &RoutingSettings,
+    ) -> RouteCandidate {
+        let half_life = settings.latency_memory;
+        let service_s = self.estimate.service_time(now, half_life, typical_s);
+        let wait_s = self.estimate.wait(now, half_life);
+        let in_flight = f64::from(self.in_flight);
+        let path_s = self.tier.cost(settings).as_secs_f64();
+        let occupied = in_flight / f64::from(self.slots);
+        RouteCandidate {
+            key,
+            tier: self.tier,
+            weight: self.weight(now, settings),
+            completion_s: service_s * (in_flight + 1.0) + wait_s,
+            spill_s: service_s * (1.0 + occupied) + wait_s + path_s,
+            level: RequestPriority::from_raw(0),
+        }
+    }
+}
+
+/// Takes the better of two at each distance, and a farther one only if it completes earlier.
+fn choose_candidate(candidates: &[RouteCandidate], rng: &mut dyn RngCore) -> Option<TargetKey> {
+    let tiers = [
+        PathTier::SameZone,
+        PathTier::SameRegion,
+        PathTier::OtherRegion,
+    ];
+    let mut chosen: Option<RouteCandidate> = None;
+    for tier in tiers {
+        let Some(best) = best_of_two(candidates, tier, rng) else {
+            continue;
+        };
+        if chosen.is_none_or(|nearer| best.spill_s < nearer.spill_s) {
+            chosen = Some(best);
+        }
+    }
+    chosen.map(|candidate| candidate.key)
+}
+
+fn best_of_two(
+    candidates: &[RouteCandidate],
+    tier: PathTier,
+    rng: &mut dyn RngCore,
+) -> Option<RouteCandidate> {
+    let in_tier = || candidates.iter().filter(|candidate| candidate.tier == tier);
+    let total = in_tier().map(|candidate| candidate.weight).sum::<f64>();
+    let first = pick_weighted(in_tier(), total, rng)?;
+    let second = pick_weighted(in_tier(), total, rng)?;
+    if second.completion_s < first.completion_s {
+        Some(second)
+    } else {
+        Some(first)
+    }
+}
+
+fn pick_weighted<'a>(
+    candidates: impl Iterator<Item = &'a RouteCandidate>,
+    total: f64,
+    rng: &mut dyn RngCore,
+) -> Option<RouteCandidate> {
+    let mut point = rng.random::<f64>() * total;
+    let mut last = None;
+    for candidate in candidates {
+        last = Some(*candidate);
+        point -= candidate.weight;
+        if point < 0.0 {
+            break;
+        }
+    }
+    last
+}
+
+/// Returns when a decaying level will have fallen to the priority.
+fn time_until_admitted(
+    level: RequestPriority,
+    priority: RequestPriority,
+    half_life: Duration,
+) -> Duration {
+    let ratio = f64::from(level.as_raw()) / f64::from(priority.as_raw().max(1));
+    let seconds = ratio.max(1.0).log2() * half_life.as_secs_f64();
+    Duration::from_secs_f64(seconds.clamp(MIN_LEVEL_RETRY_S, MAX_LEVEL_RETRY_S))
+}
+
+fn refuse(reason: RefusalReason, delay: Duration, rng: &mut dyn RngCore) -> RouteDecision {
+    let factor = 1.0 + RETRY_JITTER * (2.0 * rng.random::<f64>() - 1.0);
+    RouteDecision::Refuse {
+        reason,
+        retry_after: delay.mul_f64(factor),
+    }
+}
--- /dev/null
+++ b/src/routing/estimate.rs
@@ -0,0 +1,94 @@
+//! Latency and failure averages of one target.
+
+use std::time::Duration;
+
+use crate::types::TickTime;
+
+/// Weight of a new sample in the latency average.
+const LATENCY_GAIN: f64 = 0.2;
+/// Weight of a new verdict in the failure average.
+const FAILURE_GAIN: f64 = 0.2;
+/// Failure average at which the expected completion time stops growing.
+const MAX_FAILURE: f64 = 0.95;
+/// Latency of a failed attempt, so that a target that fails fast does not look fast.
+const MIN_FAILURE_LATENCY: Duration = Duration::from_millis(50);
+/// Bound on the reported wait, as a multiple of the measured latency: reports may mislead.
+const MAX_WAIT_FACTOR: f64 = 4.0;
+
+/// What this node measured at one target, and what the target reported.
+#[derive(Debug, Clone, Default)]
+pub(super) struct TargetEstimate {
+    // Seconds, without the path cost; 0 before the first sample.
+    latency_s: f64,
+    failure: f64,
+    measured_at: TickTime,
+    reported_wait_s: f64,
+    reported_at: TickTime,
+}
+
+/// One ended attempt as the estimate sees it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AttemptSample {
+    pub(super) latency: Duration,
+    pub(super) is_failure: bool,
+}
+
+impl TargetEstimate {
+    pub(super) fn add(&mut self, now: TickTime, half_life: Duration, sample: AttemptSample) {
+        let latency_s = if sample.is_failure {
+            sample.latency.max(MIN_FAILURE_LATENCY).as_secs_f64()
+        } else {
+            sample.latency.as_secs_f64()
+        };
+        let fade = decay(now - self.measured_at, half_life);
+        let previous = self.latency_s * fade;
+        // A rise counts more than a fall, so that a stalled target is noticed by one answer.
+        let gain = if latency_s > previous {
+            0.5
+        } else {
+            LATENCY_GAIN
+        };
+        self.latency_s = if self.latency_s == 0.0 {
+            latency_s
+        } else {
+            previous + gain * (latency_s - previous)
+        };
+        let verdict = f64::from(u8::from(sample.is_failure));
+        self.failure = self.failure * fade + FAILURE_GAIN * (verdict - self.failure * fade);
+        self.measured_at = now;
+    }
+
+    pub(super) fn note_wait(&mut self, now: TickTime, wait: Option<Duration>) {
+        if let Some(wait) = wait {
+            self.reported_wait_s = wait.as_secs_f64();
+            self.reported_at = now;
+        }
+    }
+
+    /// Forgets the measurements, for a target that starts anew.
+    pub(super) fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Returns the expected time of one request in seconds, without path cost.
+    pub(super) fn service_time(&self, now: TickTime, half_life: Duration, first_s: f64) -> f64 {
+        if self.latency_s == 0.0 {
+            return first_s;
+        }
+        let fade = decay(now - self.measured_at, half_life);
+        let latency = self.latency_s * fade;
+        let failure = (self.failure * fade).min(MAX_FAILURE);
+        latency / (1.0 - failure)
+    }
+
+    /// Returns the reported wait in seconds as far as it is believed.
+    pub(super) fn wait(&self, now: TickTime, half_life: Duration) -> f64 {
+        let wait = self.reported_wait_s * decay(now - self.reported_at, half_life);
+        wait.min(self.latency_s * MAX_WAIT_FACTOR)
+    }
+}
+
+/// Returns the part of a value that is left after a span.
+pub(super) fn decay(span: Duration, half_life: Duration) -> f64 {
+    (-span.as_secs_f64() / half_life.as_secs_f64().max(f64::EPSILON)).exp2()
+}
--- /dev/null
+++ b/src/routing/health.rs
@@ -0,0 +1,226 @@
+//! Health of one target as judged by this node.
+
+use std::time::Duration;
+
+use statig::prelude::*;
+
+use crate::types::{RefusalReason, RequestPriority, TickTime};
+
+use super::RoutingSettings;
+
+/// Verdicts kept for the ratio of failures.
+const RECENT_VERDICTS: u32 = 64;
+/// Successful probes after which a target counts as recovered.
+const PROBES_TO_RECOVER: u32 = 2;
+
+/// Load reported with an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Admission level for the called service and endpoint.
+    pub level: Option<RequestPriority>,
+    /// Expected wait for a slot.
+    pub queue_wait: Option<Duration>,
+    /// Whether the target is leaving.
+    pub leaving: bool,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendResult {
+    /// The target answered.
+    Answered,
+    /// The target's node refused the work.
+    Refused(RefusalReason),
+    /// The connection, the answer or the target failed.
+    Failed,
+}
+
+impl SendResult {
+    /// Returns whether the target is at fault, or `None` if the result says nothing about that.
+    pub(super) const fn verdict(self) -> Option<bool> {
+        match self {
+            Self::Answered => Some(true),
+            Self::Failed
+            | Self::Refused(
+                RefusalReason::TargetDown | RefusalReason::PlanStale | RefusalReason::BadMeshToken,
+            ) => Some(false),
+            Self::Refused(_) => None,
+        }
+    }
+
+    pub(super) const fn is_leaving(self) -> bool {
+        matches!(
+            self,
+            Self::Refused(RefusalReason::TargetLeaving | RefusalReason::Stopping)
+        )
+    }
+}
+
+/// Event that can change the health of a target.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum HealthEvent {
+    Verdict {
+        now: TickTime,
+        is_success: bool,
+        may_eject: bool,
+    },
+    Elapsed {
+        now: TickTime,
+    },
+    Reinstate,
+    Leaving {
+        now: TickTime,
+    },
+    AnnouncedReady,
+}
+
+/// Counters behind the states.
+#[derive(Debug, Default)]
+pub(super) struct TargetHealth {
+    failures_in_row: u32,
+    // One bit for each recent verdict, set for a failure.
+    recent: u64,
+    recent_count: u32,
+    ejections: u32,
+    probes_passed: u32,
+}
+
+pub(super) type HealthMachine = InitializedStateMachine<TargetHealth>;
+
+/// Creates the machine of a target that has just been announced.
+pub(super) fn new_machine(settings: &RoutingSettings) -> HealthMachine {
+    let mut context = settings;
+    TargetHealth::default()
+        .uninitialized_state_machine()
+        .init_with_context(&mut context)
+}
+
+#[state_machine(
+    initial = "State::healthy()",
+    visibility = "pub(super)",
+    state(derive(Debug, Clone, PartialEq)),
+    superstate(derive(Debug))
+)]
+impl TargetHealth {
+    #[state(superstate = "serving")]
+    fn healthy(&mut self, event: &HealthEvent, context: &mut &RoutingSettings) -> Outcome<State> {
+        let HealthEvent::Verdict {
+            now,
+            is_success,
+            may_eject,
+        } = *event
+        else {
+            return Super;
+        };
+        self.count(is_success);
+        if may_eject && self.is_failing(context) {
+            return Transition(self.eject(now, context));
+        }
+        Handled
+    }
+
+    #[state(superstate = "serving")]
+    fn ejected(&mut self, until: &TickTime, event: &HealthEvent) -> Outcome<State> {
+        match event {
+            HealthEvent::Elapsed { now } if now >= until => {
+                self.probes_passed = 0;
+                Transition(State::probing())
+            }
+            // Answers of attempts sent before the ejection say nothing new.
+            HealthEvent::Verdict { .. } => Handled,
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "serving")]
+    fn probing(&mut self, event: &HealthEvent, context: &mut &RoutingSettings) -> Outcome<State> {
+        match *event {
+            HealthEvent::Verdict {
+                is_success: true, ..
+            } => {
+                self.probes_passed += 1;
+                if self.probes_passed < PROBES_TO_RECOVER {
+                    return Handled;
+                }
+                self.forget();
+                Transition(State::healthy())
+            }
+            HealthEvent::Verdict { now, may_eject, .. } if may_eject => {
+                Transition(self.eject(now, context))
+            }
+            _ => Super,
+        }
+    }
+
+    // The announcement after the notice is remembered, because the directory does not repeat it.
+    #[state]
+    fn leaving(
+        &mut self,
+        since: &mut TickTime,
+        is_announced: &mut bool,
+        event: &HealthEvent,
+        context: &mut &RoutingSettings,
+    ) -> Outcome<State> {
+        match *event {
+            HealthEvent::Leaving { now } => {
+                *since = now;
+                *is_announced = false;
+            }
+            HealthEvent::AnnouncedReady => *is_announced = true,
+            HealthEvent::Elapsed { now }
+                if *is_announced && now.saturating_since(*since) >= context.leaving_hold =>
+            {
+                *self = Self::default();
+                return Transition(State::healthy());
+            }
+            _ => {}
+        }
+        Handled
+    }
+
+    #[superstate]
+    fn serving(&mut self, event: &HealthEvent) -> Outcome<State> {
+        match *event {
+            HealthEvent::Leaving { now } => Transition(State::leaving(now, false)),
+            HealthEvent::Reinstate => {
+                self.forget();
+                Transition(State::healthy())
+            }
+            _ => Handled,
+        }
+    }
+}
+
+impl TargetHealth {
+    fn count(&mut self, is_success: bool) {
+        self.failures_in_row = if is_success {
+            0
+        } else {
+            self.failures_in_row + 1
+        };
+        self.recent = (self.recent << 1) | u64::from(!is_success);
+        self.recent_count = (self.recent_count + 1).min(RECENT_VERDICTS);
+        // A full window of successes ends the memory of earlier ejections.
+        if self.recent_count == RECENT_VERDICTS && self.recent == 0 {
+            self.ejections = 0;
+        }
+    }
+
+    fn is_failing(&self, settings: &RoutingSettings) -> bool {
+        let has_ratio = self.recent_count >= settings.eject_min_attempts;
+        let is_mostly_failing = self.recent.count_ones() * 2 > self.recent_count;
+        self.failures_in_row >= settings.eject_after_failures || (has_ratio && is_mostly_failing)
+    }
+
+    fn eject(&mut self, now: TickTime, settings: &RoutingSettings) -> State {
+        let doubled = settings.eject_for * 2_u32.saturating_pow(self.ejections.min(8));
+        self.ejections += 1;
+        State::ejected(now + doubled.min(settings.eject_at_most))
+    }
+
+    fn forget(&mut self) {
+        self.failures_in_row = 0;
+        self.recent = 0;
+        self.recent_count = 0;
+    }
+}
--- /dev/null
+++ b/src/routing/levels.rs
@@ -0,0 +1,111 @@
+//! Admission levels learnt from answers, by endpoint of a called service.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::types::{RequestPriority, TickTime};
+
+use super::TargetKey;
+use super::estimate::decay;
+
+/// Endpoints remembered for one service. Paths come from callers, so the number is bounded.
+const MAX_ENDPOINTS: usize = 64;
+/// Half-lives after which a level is below the lowest priority that matters.
+const FORGET_AFTER_HALF_LIVES: u32 = 16;
+
+/// Levels of all targets of one service.
+#[derive(Debug, Default)]
+pub(super) struct LevelBook {
+    endpoints: BTreeMap<Box<str>, EndpointLevels>,
+}
+
+/// Levels of the targets of one service for one endpoint.
+#[derive(Debug, Default)]
+pub(super) struct EndpointLevels {
+    samples: BTreeMap<TargetKey, LevelSample>,
+    used_at: TickTime,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LevelSample {
+    level: RequestPriority,
+    learnt_at: TickTime,
+}
+
+impl LevelBook {
+    pub(super) fn learn(
+        &mut self,
+        now: TickTime,
+        endpoint: &str,
+        key: TargetKey,
+        level: RequestPriority,
+    ) {
+        if !self.endpoints.contains_key(endpoint) {
+            self.make_room();
+            self.endpoints
+                .insert(endpoint.into(), EndpointLevels::default());
+        }
+        let Some(levels) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        levels.used_at = now;
+        let learnt_at = now;
+        levels.samples.insert(key, LevelSample { level, learnt_at });
+    }
+
+    pub(super) fn endpoint(&self, endpoint: &str) -> Option<&EndpointLevels> {
+        self.endpoints.get(endpoint)
+    }
+
+    pub(super) fn remove_target(&mut self, key: TargetKey) {
+        for levels in self.endpoints.values_mut() {
+            levels.samples.remove(&key);
+        }
+    }
+
+    fn make_room(&mut self) {
+        if self.endpoints.len() < MAX_ENDPOINTS {
+            return;
+        }
+        let oldest = self.endpoints.iter().min_by_key(|entry| entry.1.used_at);
+        if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+            self.endpoints.remove(&name);
+        }
+    }
+}
+
+impl EndpointLevels {
+    /// Returns the decayed level of a target, or `None` if no recent answer told it.
+    pub(super) fn of_target(
+        &self,
+        now: TickTime,
+        half_life: Duration,
+        key: TargetKey,
+    ) -> Option<RequestPriority> {
+        self.samples.get(&key)?.decayed(now, half_life)
+    }
+
+    /// Returns the lower median over the targets with recent answers: a single target that claims
+    /// an extreme level does not decide for the service.
+    pub(super) fn median(&self, now: TickTime, half_life: Duration) -> RequestPriority {
+        let samples = self.samples.values();
+        let mut levels = samples
+            .filter_map(|sample| sample.decayed(now, half_life))
+            .collect::<Vec<_>>();
+        levels.sort_unstable();
+        let middle = levels.len().saturating_sub(1) / 2;
+        let median = levels.get(middle).copied();
+        median.unwrap_or(RequestPriority::from_raw(0))
+    }
+}
+
+impl LevelSample {
+    fn decayed(self, now: TickTime, half_life: Duration) -> Option<RequestPriority> {
+        let age = now - self.learnt_at;
+        if age > half_life * FORGET_AFTER_HALF_LIVES {
+            return None;
+        }
+        let raw = f64::from(self.level.as_raw()) * decay(age, half_life);
+        Some(RequestPriority::from_raw(raw as u16))
+    }
+}
--- /dev/null
+++ b/src/routing/settings.rs
@@ -0,0 +1,98 @@
+//! Settings of target choice.
+
+use std::time::Duration;
+
+const DEFAULT_SLOW_START: Duration = Duration::from_secs(10);
+const DEFAULT_SLOW_START_WEIGHT: f64 = 0.1;
+const DEFAULT_LATENCY_MEMORY: Duration = Duration::from_secs(3);
+const DEFAULT_FIRST_LATENCY: Duration = Duration::from_millis(10);
+// Round trips of the workloads are 1 to 2 ms between zones and 24 ms between regions.
+const DEFAULT_ZONE_COST: Duration = Duration::from_millis(2);
+const DEFAULT_REGION_COST: Duration = Duration::from_millis(24);
+const DEFAULT_EJECT_AFTER_FAILURES: u32 = 5;
+const DEFAULT_EJECT_MIN_ATTEMPTS: u32 = 20;
+const DEFAULT_EJECT_FOR: Duration = Duration::from_secs(2);
+const DEFAULT_EJECT_AT_MOST: Duration = Duration::from_secs(30);
+const DEFAULT_LEAVING_HOLD: Duration = Duration::from_secs(5);
+const DEFAULT_LEVEL_HALF_LIFE: Duration = Duration::from_secs(1);
+const DEFAULT_PROBE_SHARE: f64 = 0.02;
+const DEFAULT_DOWNSTREAM_MEMORY: Duration = Duration::from_secs(30);
+
+/// How many targets of one service may be ejected at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EjectionBound {
+    /// No target is ejected.
+    None,
+    /// At most a third: a fault seen at more targets is one of something they share.
+    Third,
+    /// All of them.
+    All,
+}
+
+impl EjectionBound {
+    /// Returns the bound for a service with `targets` ready targets.
+    pub const fn limit(self, targets: usize) -> usize {
+        match self {
+            Self::None => 0,
+            Self::Third => targets / 3,
+            Self::All => targets,
+        }
+    }
+}
+
+/// Settings of a `TargetTable`.
+#[derive(Debug, Clone)]
+pub struct RoutingSettings {
+    /// Time over which the weight of a new or recovered target grows.
+    pub slow_start: Duration,
+    /// Weight at the beginning of the slow start, as a part of the full weight.
+    pub slow_start_weight: f64,
+    /// Half-life of a measured latency while no newer one is measured.
+    pub latency_memory: Duration,
+    /// Latency assumed for a service before the first answer.
+    pub first_latency: Duration,
+    /// Cost of a call to another zone of the region.
+    pub zone_cost: Duration,
+    /// Cost of a call to another region.
+    pub region_cost: Duration,
+    /// Failures in a row after which a target is ejected.
+    pub eject_after_failures: u32,
+    /// Attempts from which the ratio of failures is judged.
+    pub eject_min_attempts: u32,
+    /// Time of the first ejection; it doubles with each failed probe.
+    pub eject_for: Duration,
+    /// Longest ejection.
+    pub eject_at_most: Duration,
+    /// Bound on ejected targets of a service.
+    pub ejection_bound: EjectionBound,
+    /// Time after a notice of leaving in which an announcement of readiness is not believed.
+    pub leaving_hold: Duration,
+    /// Half-life of a learnt admission level.
+    pub level_half_life: Duration,
+    /// Part of the shut-out requests that is sent as probes.
+    pub probe_share: f64,
+    /// Time for which a call is remembered as downstream of an endpoint.
+    pub downstream_memory: Duration,
+}
+
+impl Default for RoutingSettings {
+    fn default() -> Self {
+        Self {
+            slow_start: DEFAULT_SLOW_START,
+            slow_start_weight: DEFAULT_SLOW_START_WEIGHT,
+            latency_memory: DEFAULT_LATENCY_MEMORY,
+            first_latency: DEFAULT_FIRST_LATENCY,
+            zone_cost: DEFAULT_ZONE_COST,
+            region_cost: DEFAULT_REGION_COST,
+            eject_after_failures: DEFAULT_EJECT_AFTER_FAILURES,
+            eject_min_attempts: DEFAULT_EJECT_MIN_ATTEMPTS,
+            eject_for: DEFAULT_EJECT_FOR,
+            eject_at_most: DEFAULT_EJECT_AT_MOST,
+            ejection_bound: EjectionBound::Third,
+            leaving_hold: DEFAULT_LEAVING_HOLD,
+            level_half_life: DEFAULT_LEVEL_HALF_LIFE,
+            probe_share: DEFAULT_PROBE_SHARE,
+            downstream_memory: DEFAULT_DOWNSTREAM_MEMORY,
+        }
+    }
+}
--- /dev/null
+++ b/src/routing/table.rs
@@ -0,0 +1,432 @@
+//! Targets known to a node, with what the node learnt about them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use crate::types::{NodeId, RegionName, RequestPriority, ServiceName, TickTime, ZoneName};
+
+use super::downstream::DownstreamMap;
+use super::estimate::{AttemptSample, TargetEstimate};
+use super::health::{HealthEvent, HealthMachine, LoadReport, SendResult, State, new_machine};
+use super::levels::LevelBook;
+use super::{DirectoryUpdate, RoutingSettings, TargetKey, TargetRecord, TargetState};
+
+/// Weight of one answer in the latency that is typical of a service.
+const TYPICAL_GAIN: f64 = 0.05;
+/// Services remembered as called; only granted services get this far.
+const MAX_CALLED_SERVICES: usize = 1_024;
+
+/// Time in which a directory for a newly called service arrives; three heartbeats.
+const DIRECTORY_DELAY: Duration = Duration::from_secs(3);
+
+/// Distance from this node to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum PathTier {
+    SameZone,
+    SameRegion,
+    OtherRegion,
+}
+
+impl PathTier {
+    pub(super) const fn cost(self, settings: &RoutingSettings) -> Duration {
+        match self {
+            Self::SameZone => Duration::ZERO,
+            Self::SameRegion => settings.zone_cost,
+            Self::OtherRegion => settings.region_cost,
+        }
+    }
+}
+
+/// One target.
+#[derive(Debug)]
+pub(super) struct TargetSlot {
+    pub(super) node_id: NodeId,
+    pub(super) address: SocketAddr,
+    service: ServiceName,
+    pub(super) slots: u32,
+    pub(super) tier: PathTier,
+    state: TargetState,
+    pub(super) in_flight: u32,
+    warm_from: TickTime,
+    pub(super) estimate: TargetEstimate,
+    health: HealthMachine,
+}
+
+/// Targets of one service.
+#[derive(Debug, Default)]
+pub(super) struct ServiceTargets {
+    pub(super) keys: Vec<TargetKey>,
+    pub(super) levels: LevelBook,
+    pub(super) typical_s: Option<f64>,
+}
+
+/// Directory of a node and its measurements; chooses a target for each attempt.
+#[derive(Debug)]
+pub struct TargetTable {
+    pub(super) settings: RoutingSettings,
+    zone: ZoneName,
+    region: RegionName,
+    pub(super) targets: SlotMap<TargetKey, TargetSlot>,
+    by_node: BTreeMap<NodeId, TargetKey>,
+    pub(super) by_service: BTreeMap<ServiceName, ServiceTargets>,
+    called: BTreeMap<ServiceName, TickTime>,
+    downstream: DownstreamMap,
+}
+
+impl TargetTable {
+    /// Creates an empty table for a node in a zone of a region.
+    pub fn new(settings: RoutingSettings, zone: ZoneName, region: RegionName) -> Self {
+        Self {
+            settings,
+            zone,
+            region,
+            targets: SlotMap::with_key(),
+            by_node: BTreeMap::new(),
+            by_service: BTreeMap::new(),
+            called: BTreeMap::new(),
+            downstream: DownstreamMap::default(),
+        }
+    }
+
+    /// Returns the number of known targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns whether no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Applies a change of the directory. What was measured at a target is kept while its node
+    /// stays listed.
+    pub fn apply_update(&mut self, now: TickTime, update: DirectoryUpdate) {
+        let DirectoryUpdate {
+            full,
+            changed,
+            removed,
+        } = update;
+        for node_id in removed {
+            self.remove_node(node_id);
+        }
+        if full {
+            self.remove_unlisted(&changed);
+        }
+        for record in changed {
+            self.apply_record(now, &record);
+        }
+        self.enforce_ejection_bound();
+    }
+
+    fn remove_unlisted(&mut self, listed: &[TargetRecord]) {
+        let listed = listed
+            .iter()
+            .map(|record| record.node_id)
+            .collect::<BTreeSet<_>>();
+        let nodes = self.by_node.keys().copied();
+        for node_id in nodes.collect::<Vec<_>>() {
+            if !listed.contains(&node_id) {
+                self.remove_node(node_id);
+            }
+        }
+    }
+
+    fn remove_node(&mut self, node_id: NodeId) {
+        let Some(key) = self.by_node.remove(&node_id) else {
+            return;
+        };
+        let Some(slot) = self.targets.remove(key) else {
+            return;
+        };
+        if let Some(service) = self.by_service.get_mut(&slot.service) {
+            service.keys.retain(|other| *other != key);
+            service.levels.remove_target(key);
+        }
+    }
+
+    fn apply_record(&mut self, now: TickTime, record: &TargetRecord) {
+        let known = self.by_node.get(&record.node_id).copied();
+        let is_same_service = known
+            .and_then(|key| self.targets.get(key))
+            .is_some_and(|slot| slot.service == record.service);
+        if known.is_some() && !is_same_service {
+            self.remove_node(record.node_id);
+        }
+        let key = self.by_node.get(&record.node_id).copied();
+        let key = key.unwrap_or_else(|| self.insert_record(now, record));
+        let tier = self.tier_of(record);
+        let settings = &self.settings;
+        if let Some(slot) = self.targets.get_mut(key) {
+            slot.tier = tier;
+            slot.update(now, record, settings);
+        }
+    }
+
+    fn insert_record(&mut self, now: TickTime, record: &TargetRecord) -> TargetKey {
+        let known = self.by_service.get_key_value(&record.service);
+        // One allocation of the name is shared by all targets of the service.
+        let service = known.map_or_else(|| record.service.clone(), |(name, _)| name.clone());
+        let key = self.targets.insert(TargetSlot {
+            node_id: record.node_id,
+            address: record.address,
+            service: service.clone(),
+            slots: record.slots.max(1),
+            tier: self.tier_of(record),
+            state: record.state,
+            in_flight: 0,
+            warm_from: now,
+            estimate: TargetEstimate::default(),
+            health: new_machine(&self.settings),
+        });
+        self.by_node.insert(record.node_id, key);
+        self.by_service.entry(service).or_default().keys.push(key);
+        key
+    }
+
+    fn tier_of(&self, record: &TargetRecord) -> PathTier {
+        if record.region != self.region {
+            PathTier::OtherRegion
+        } else if record.zone != self.zone {
+            PathTier::SameRegion
+        } else {
+            PathTier::SameZone
+        }
+    }
+
+    // Targets that left make the permitted number of ejections smaller.
+    fn enforce_ejection_bound(&mut self) {
+        for service in self.by_service.values() {
+            let limit = ejection_limit(&self.targets, service, &self.settings);
+            let ejected = service.keys.iter().copied();
+            let ejected = ejected.filter(|key| self.targets[*key].is_ejected());
+            for key in ejected.skip(limit).collect::<Vec<_>>() {
+                self.targets[key].handle(&HealthEvent::Reinstate, &self.settings);
+            }
+        }
+    }
+
+    /// Counts an attempt in flight.
+    pub fn start(&mut self, key: TargetKey) {
+        if let Some(slot) = self.targets.get_mut(key) {
+            slot.in_flight += 1;
+        }
+    }
+
+    /// Ends an attempt without a verdict on its target.
+    pub fn cancel_started(&mut self, key: TargetKey) {
+        if let Some(slot) = self.targets.get_mut(key) {
+            slot.in_flight = slot.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Ends an attempt and learns from its result.
+    pub fn record(
+        &mut self,
+        now: TickTime,
+        key: TargetKey,
+        endpoint: &str,
+        latency: Duration,
+        result: SendResult,
+        report: &LoadReport,
+    ) {
+        self.cancel_started(key);
+        let may_eject = result.verdict() == Some(false) && self.may_eject(key);
+        let settings = &self.settings;
+        let Some(slot) = self.targets.get_mut(key) else {
+            return;
+        };
+        let Some(service) = self.by_service.get_mut(&slot.service) else {
+            return;
+        };
+        if let Some(level) = report.level {
+            service.levels.learn(now, endpoint, key, level);
+        }
+        if report.leaving || result.is_leaving() {
+            slot.handle(&HealthEvent::Leaving { now }, settings);
+        }
+        slot.estimate.note_wait(now, report.queue_wait);
+        let Some(is_success) = result.verdict() else {
+            return;
+        };
+        let sample = AttemptSample {
+            latency: latency.saturating_sub(slot.tier.cost(settings)),
+            is_failure: !is_success,
+        };
+        slot.estimate.add(now, settings.latency_memory, sample);
+        if is_success {
+            service.note_typical(sample.latency);
+        }
+        let event = HealthEvent::Verdict {
+            now,
+            is_success,
+            may_eject,
+        };
+        slot.judge(now, &event, settings);
+    }
+
+    fn may_eject(&self, key: TargetKey) -> bool {
+        let Some(slot) = self.targets.get(key) else {
+            return false;
+        };
+        let Some(service) = self.by_service.get(&slot.service) else {
+            return false;
+        };
+        let others = service.keys.iter().filter(|other| **other != key);
+        let ejected = others.filter(|other| self.targets[**other].is_ejected());
+        ejected.count() < ejection_limit(&self.targets, service, &self.settings)
+    }
+
+    /// Remembers that requests to an endpoint of the own target make this call.
+    pub fn note_downstream(
+        &mut self,
+        now: TickTime,
+        own_endpoint: &str,
+        service: &ServiceName,
+        endpoint: &str,
+    ) {
+        self.downstream.note(now, own_endpoint, service, endpoint);
+    }
+
+    /// Returns the level to report for an endpoint of the own target: the largest of the own
+    /// level and those learnt for the calls made under that endpoint.
+    pub fn advertised_level(
+        &self,
+        now: TickTime,
+        own_endpoint: &str,
+        own_level: RequestPriority,
+    ) -> RequestPriority {
+        let memory = self.settings.downstream_memory;
+        let calls = self.downstream.calls(now, memory, own_endpoint);
+        let levels = calls.map(|(service, endpoint)| self.learnt_level(now, service, endpoint));
+        levels.fold(own_level, RequestPriority::max)
+    }
+
+    /// Returns the decayed level that the targets of a service report for an endpoint.
+    pub fn learnt_level(
+        &self,
+        now: TickTime,
+        service: &ServiceName,
+        endpoint: &str,
+    ) -> RequestPriority {
+        let service = self.by_service.get(service);
+        let levels = service.and_then(|service| service.levels.endpoint(endpoint));
+        levels.map_or(RequestPriority::from_raw(0), |levels| {
+            levels.median(now, self.settings.level_half_life)
+        })
+    }
+
+    /// Returns the services that this node has called, known to the directory or not. When the
+    /// set has grown, the next heartbeat must ask for the full directory (revision 0).
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.called.keys()
+    }
+
+    pub(super) fn note_called(&mut self, now: TickTime, service: &ServiceName) {
+        if !self.called.contains_key(service) && self.called.len() < MAX_CALLED_SERVICES {
+            self.called.insert(service.clone(), now);
+        }
+    }
+
+    /// Returns whether the directory had time to tell about a service since its first call.
+    pub(super) fn was_asked_for(&self, now: TickTime, service: &ServiceName) -> bool {
+        let first_call = self.called.get(service);
+        first_call.is_some_and(|at| now.saturating_since(*at) >= DIRECTORY_DELAY)
+    }
+}
+
+fn ejection_limit(
+    targets: &SlotMap<TargetKey, TargetSlot>,
+    service: &ServiceTargets,
+    settings: &RoutingSettings,
+) -> usize {
+    let keys = service.keys.iter();
+    let ready = keys.filter(|key| targets[**key].is_ready()).count();
+    settings.ejection_bound.limit(ready)
+}
+
+impl ServiceTargets {
+    fn note_typical(&mut self, latency: Duration) {
+        let latency_s = latency.as_secs_f64();
+        let typical = self.typical_s.get_or_insert(latency_s);
+        *typical += TYPICAL_GAIN * (latency_s - *typical);
+    }
+}
+
+impl TargetSlot {
+    fn update(&mut self, now: TickTime, record: &TargetRecord, settings: &RoutingSettings) {
+        self.address = record.address;
+        self.slots = record.slots.max(1);
+        let was_ready = self.state == TargetState::Ready;
+        self.state = record.state;
+        match record.state {
+            TargetState::Ready => {
+                self.handle(&HealthEvent::AnnouncedReady, settings);
+                if !was_ready {
+                    self.handle(&HealthEvent::Reinstate, settings);
+                    self.restart(now);
+                }
+            }
+            TargetState::Leaving => self.handle(&HealthEvent::Leaving { now }, settings),
+            TargetState::Down => {}
+        }
+    }
+
+    fn restart(&mut self, now: TickTime) {
+        self.warm_from = now;
+        self.estimate.reset();
+    }
+
+    fn handle(&mut self, event: &HealthEvent, settings: &RoutingSettings) {
+        let mut context = settings;
+        self.health.handle_with_context(event, &mut context);
+    }
+
+    // A target that recovered from an ejection or came back starts slowly.
+    fn judge(&mut self, now: TickTime, event: &HealthEvent, settings: &RoutingSettings) {
+        let was_healthy = self.is_healthy();
+        self.handle(event, settings);
+        if !was_healthy && self.is_healthy() {
+            self.restart(now);
+        }
+    }
+
+    /// Moves on to the next state of health if its time has come.
+    pub(super) fn refresh(&mut self, now: TickTime, settings: &RoutingSettings) {
+        if !self.is_healthy() {
+            self.judge(now, &HealthEvent::Elapsed { now }, settings);
+        }
+    }
+
+    fn is_healthy(&self) -> bool {
+        matches!(self.health.state(), State::Healthy {})
+    }
+
+    fn is_ready(&self) -> bool {
+        self.state == TargetState::Ready && !matches!(self.health.state(), State::Leaving { .. })
+    }
+
+    fn is_ejected(&self) -> bool {
+        let state = self.health.state();
+        matches!(state, State::Ejected { .. } | State::Probing {})
+    }
+
+    pub(super) fn is_candidate(&self) -> bool {
+        self.state == TargetState::Ready && self.is_healthy()
+    }
+
+    pub(super) fn is_awaiting_probe(&self) -> bool {
+        let is_probing = matches!(self.health.state(), State::Probing {});
+        self.state == TargetState::Ready && is_probing && self.in_flight == 0
+    }
+
+    /// Returns the weight in random choices: slots, reduced during the slow start.
+    pub(super) fn weight(&self, now: TickTime, settings: &RoutingSettings) -> f64 {
+        let span = settings.slow_start.as_secs_f64().max(f64::EPSILON);
+        let warmth = (now - self.warm_from).as_secs_f64() / span;
+        let first = settings.slow_start_weight;
+        f64::from(self.slots) * (first + (1.0 - first) * warmth).min(1.0)
+    }
+}
--- /dev/null
+++ b/src/shares/bucket.rs
@@ -0,0 +1,214 @@
+//! Node side of the shares.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::plans::{CallerEntry, PlanEntry};
+use crate::types::{CallerName, TickTime};
+
+use super::{REPLY_BOUND, RateDemand, RateShare, TOKEN, accrued};
+
+/// Regular time between heartbeats, after which a caller without tokens may try again.
+const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Shares that this node holds, by caller.
+#[derive(Debug, Default)]
+pub struct ShareBucket {
+    callers: BTreeMap<CallerName, CallerBucket>,
+    applied_sent_at: Option<TickTime>,
+    reported_at: Option<TickTime>,
+    has_unmet_demand: bool,
+}
+
+#[derive(Debug, Default)]
+struct CallerBucket {
+    offered: u32,
+    lease: Option<HeldLease>,
+    deposits: Vec<HeldDeposit>,
+}
+
+#[derive(Debug)]
+struct HeldLease {
+    rate_per_s: u32,
+    capacity: u64,
+    tokens: u64,
+    refilled_at: TickTime,
+    expires_at: TickTime,
+}
+
+#[derive(Debug)]
+struct HeldDeposit {
+    tokens: u32,
+    expires_at: TickTime,
+}
+
+impl ShareBucket {
+    /// Creates a bucket without shares.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies the shares of a reply to a heartbeat that was sent at `sent_at`.
+    ///
+    /// Replies to earlier heartbeats than the last applied one are ignored.
+    pub fn update(&mut self, sent_at: TickTime, now: TickTime, shares: &[RateShare]) {
+        if self.applied_sent_at.is_some_and(|last| last >= sent_at) {
+            return;
+        }
+        self.applied_sent_at = Some(sent_at);
+        let is_late = now.saturating_since(sent_at) >= REPLY_BOUND;
+        for share in shares {
+            let expires_at = sent_at + share.valid_for;
+            if expires_at <= now {
+                continue;
+            }
+            let bucket = self.callers.entry(share.caller.clone()).or_default();
+            if share.rate_per_s == 0 {
+                bucket.add_deposit(share.burst, expires_at);
+            } else {
+                bucket.set_lease(now, share, expires_at, is_late);
+            }
+        }
+    }
+
+    /// Takes a token for one request of the caller.
+    ///
+    /// The error is the time until a retry is worthwhile.
+    pub fn take(
+        &mut self,
+        now: TickTime,
+        caller: &CallerEntry,
+        plan: &PlanEntry,
+    ) -> Result<(), Duration> {
+        if plan.rate_per_s.is_none() {
+            return Ok(());
+        }
+        if !self.callers.contains_key(&caller.name) {
+            self.callers
+                .insert(caller.name.clone(), CallerBucket::default());
+        }
+        let Some(bucket) = self.callers.get_mut(&caller.name) else {
+            return Err(HEARTBEAT_PERIOD);
+        };
+        bucket.offered = bucket.offered.saturating_add(1);
+        let result = bucket.take(now);
+        self.has_unmet_demand |= result.is_err();
+        result
+    }
+
+    /// Returns whether a request found no token since the last report, so that an early heartbeat
+    /// is worthwhile.
+    pub fn has_unmet_demand(&self) -> bool {
+        self.has_unmet_demand
+    }
+
+    /// Reports the demand since the last call, for a heartbeat that is sent now.
+    pub fn demands(&mut self, now: TickTime) -> Vec<RateDemand> {
+        let elapsed = self.reported_at.map_or(HEARTBEAT_PERIOD, |at| now - at);
+        let seconds = elapsed.max(HEARTBEAT_PERIOD).as_secs_f64();
+        self.reported_at = Some(now);
+        self.has_unmet_demand = false;
+        let mut demands = Vec::new();
+        self.callers.retain(|caller, bucket| {
+            bucket.drop_expired(now);
+            let is_active = bucket.offered > 0 || bucket.lease.is_some();
+            if is_active {
+                demands.push(bucket.report(now, caller, seconds));
+            }
+            is_active || !bucket.deposits.is_empty()
+        });
+        demands
+    }
+}
+
+impl CallerBucket {
+    fn drop_expired(&mut self, now: TickTime) {
+        self.lease.take_if(|lease| lease.expires_at <= now);
+        self.deposits
+            .retain(|deposit| deposit.tokens > 0 && deposit.expires_at > now);
+    }
+
+    fn add_deposit(&mut self, tokens: u32, expires_at: TickTime) {
+        self.deposits.push(HeldDeposit { tokens, expires_at });
+    }
+
+    fn set_lease(&mut self, now: TickTime, share: &RateShare, expires_at: TickTime, is_late: bool) {
+        self.drop_expired(now);
+        let Some(lease) = &mut self.lease else {
+            if !is_late && share.burst > 0 {
+                self.lease = Some(HeldLease::new(now, share, expires_at));
+            }
+            return;
+        };
+        lease.refill(now);
+        lease.rate_per_s = if is_late {
+            share.rate_per_s.min(lease.rate_per_s)
+        } else {
+            share.rate_per_s
+        };
+        if share.burst > 0 {
+            lease.capacity = u64::from(share.burst) * TOKEN;
+            lease.tokens = lease.tokens.min(lease.capacity);
+        }
+        lease.expires_at = expires_at;
+    }
+
+    fn take(&mut self, now: TickTime) -> Result<(), Duration> {
+        self.drop_expired(now);
+        if let Some(lease) = &mut self.lease
+            && lease.take(now)
+        {
+            return Ok(());
+        }
+        if let Some(deposit) = self.deposits.first_mut() {
+            deposit.tokens -= 1;
+            return Ok(());
+        }
+        let lease = self.lease.as_ref();
+        Err(lease.map_or(HEARTBEAT_PERIOD, HeldLease::time_to_token))
+    }
+
+    fn report(&mut self, now: TickTime, caller: &CallerName, seconds: f64) -> RateDemand {
+        let offered = f64::from(std::mem::take(&mut self.offered));
+        let lease = self.lease.as_ref();
+        RateDemand {
+            caller: caller.clone(),
+            offered_per_s: (offered / seconds).ceil() as u32,
+            held_per_s: lease.map_or(0, |lease| lease.rate_per_s),
+            held_for: lease.map_or(Duration::ZERO, |lease| lease.expires_at - now),
+        }
+    }
+}
+
+impl HeldLease {
+    fn new(now: TickTime, share: &RateShare, expires_at: TickTime) -> Self {
+        Self {
+            rate_per_s: share.rate_per_s,
+            capacity: u64::from(share.burst) * TOKEN,
+            tokens: 0,
+            refilled_at: now,
+            expires_at,
+        }
+    }
+
+    fn refill(&mut self, now: TickTime) {
+        let span = now.saturating_since(self.refilled_at);
+        let tokens = self.tokens.saturating_add(accrued(self.rate_per_s, span));
+        self.tokens = tokens.min(self.capacity);
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    fn take(&mut self, now: TickTime) -> bool {
+        self.refill(now);
+        let Some(rest) = self.tokens.checked_sub(TOKEN) else {
+            return false;
+        };
+        self.tokens = rest;
+        true
+    }
+
+    fn time_to_token(&self) -> Duration {
+        let missing = TOKEN.saturating_sub(self.tokens);
+        Duration::from_nanos(missing.div_ceil(u64::from(self.rate_per_s.max(1))))
+    }
+}
--- /dev/null
+++ b/src/shares/ledger.rs
@@ -0,0 +1,87 @@
+//! Leader side of the shares.
+
+mod account;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::plans::PlanBook;
+use crate::types::{CallerName, NodeId, TickTime};
+
+use super::{RateDemand, RateShare, SHARE_LEASE};
+use account::{CallerAccount, CallerLimit};
+
+/// All unexpired shares that the leader gave out, by caller.
+#[derive(Debug)]
+pub struct ShareLedger {
+    // Shares of the former leader have expired from here on.
+    known_from: TickTime,
+    accounts: BTreeMap<CallerName, CallerAccount>,
+}
+
+impl ShareLedger {
+    /// Creates the ledger of a leader whose term begins now.
+    ///
+    /// During the first lease time it only renews leases that nodes report as held, because the
+    /// shares given out by the former leader are not known.
+    pub fn new(now: TickTime) -> Self {
+        Self {
+            known_from: now + SHARE_LEASE,
+            accounts: BTreeMap::new(),
+        }
+    }
+
+    /// Grants shares for the demands of one node.
+    pub fn renew(
+        &mut self,
+        now: TickTime,
+        node_id: NodeId,
+        demands: &[RateDemand],
+        book: &PlanBook,
+    ) -> Vec<RateShare> {
+        let mut shares = Vec::new();
+        for demand in demands {
+            let Some(limit) = find_limit(book, &demand.caller) else {
+                continue;
+            };
+            let known_from = self.known_from;
+            let account = self
+                .accounts
+                .entry(demand.caller.clone())
+                .or_insert_with(|| CallerAccount::new(now, known_from, limit));
+            account.settle(now, limit);
+            if now < known_from {
+                shares.extend(account.confirm(now, node_id, demand, limit));
+            } else {
+                shares.extend(account.grant(now, node_id, demand, limit));
+            }
+        }
+        shares
+    }
+
+    /// Removes expired shares and accounts of callers that are idle.
+    pub fn expire(&mut self, now: TickTime) {
+        self.accounts.retain(|_, account| {
+            account.drop_expired(now);
+            !account.is_idle(now)
+        });
+    }
+
+    /// Returns the sum of unexpired leases of a caller, in requests per second.
+    pub fn leased_rate(&self, now: TickTime, caller: &CallerName) -> u32 {
+        let account = self.accounts.get(caller);
+        account.map_or(0, |account| account.leased_rate(now))
+    }
+}
+
+fn find_limit(book: &PlanBook, caller: &CallerName) -> Option<CallerLimit> {
+    let plan = book.plan_of(book.caller_named(caller)?)?;
+    let rate_per_s = plan.rate_per_s.filter(|rate| *rate > 0)?;
+    let burst = plan.burst.max(1);
+    Some(CallerLimit { rate_per_s, burst })
+}
+
+/// Time that a bank needs to fill from empty.
+fn fill_time(limit: CallerLimit) -> Duration {
+    Duration::from_secs_f64(f64::from(limit.burst) / f64::from(limit.rate_per_s))
+}
