--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -48,6 +48,10 @@
 
 impl ControlClient {
     /// Creates a client that connects at the first call; it starts with a random replica.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "the client takes over the settings that it is built from"
+    )]
     pub fn new(addresses: Vec<SocketAddr>, token: MeshToken) -> Self {
         let channels = Arc::new(ChannelTable::new(addresses, &token));
         Self { channels }
