Add the operator command

plans apply stores the change id, base version and a digest of the lists before it sends anything, so a new process can resend the same change after a lost answer and cannot resend it with other lists. The base version is the one that the operator last saw, so that an edit made from an old version is refused instead of undoing a newer one. Its network part is not yet run against a server.

--- a/src/command.rs
+++ b/src/command.rs
@@ -1,1 +1,95 @@
-//! The operator command.
+//! The operator command: checks, compares and applies the two lists, and shows the state of the mesh.
+
+mod apply;
+mod arguments;
+mod change_folder;
+mod explain;
+mod lists;
+mod status;
+mod table;
+
+use std::ffi::OsString;
+use std::io::Write;
+use std::process::ExitCode;
+
+use crate::config::OperatorConfig;
+use crate::control_client::ControlClient;
+use crate::error::{MeshError, Result};
+
+use arguments::{Action, CommandLine, HELP};
+
+const EXIT_CONFLICT: u8 = 3;
+
+/// What an action reports to the shell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    Done,
+    Failed,
+    BadInput,
+    Conflict,
+}
+
+impl Verdict {
+    const fn exit_code(self) -> u8 {
+        match self {
+            Self::Done => 0,
+            Self::Failed => 1,
+            Self::BadInput => 2,
+            Self::Conflict => EXIT_CONFLICT,
+        }
+    }
+}
+
+/// Runs the command with the arguments after the program name and returns its exit code: 0 for success, 1 for a
+/// failed operation, 2 for bad input, 3 for a conflict.
+pub fn run_command(arguments: Vec<OsString>) -> ExitCode {
+    let code = match CommandLine::parse(arguments).and_then(run) {
+        Ok(verdict) => verdict.exit_code(),
+        Err(error) => {
+            eprintln!("{error}");
+            error.exit_code()
+        }
+    };
+    ExitCode::from(code)
+}
+
+fn run(line: CommandLine) -> Result<Verdict> {
+    match &line.action {
+        Action::Help => return print(HELP),
+        Action::Version => {
+            return print(concat!("ebonyjunction ", env!("CARGO_PKG_VERSION"), "\n"));
+        }
+        Action::Check(files) => return lists::check(files),
+        _ => {}
+    }
+    let Some(path) = &line.settings else {
+        return Err(MeshError::Usage("--settings FILE is required".to_owned()));
+    };
+    let config = OperatorConfig::load(path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| MeshError::io("cannot start the runtime", source))?;
+    runtime.block_on(run_remote(line.action, config))
+}
+
+async fn run_remote(action: Action, config: OperatorConfig) -> Result<Verdict> {
+    let client = ControlClient::new(config.control.clone(), config.mesh_token.clone());
+    match action {
+        Action::Diff(files) => lists::diff(&client, &config, &files).await,
+        Action::Apply(options) => apply::apply(&client, &config, &options).await,
+        Action::Show => lists::show(&client, &config).await,
+        Action::Status => status::show(&client).await,
+        Action::Explain(request_id) => explain::explain(&client, &config, request_id).await,
+        Action::Help | Action::Version | Action::Check(_) => Ok(Verdict::Done),
+    }
+}
+
+/// Writes to standard output; a closed pipe is an error instead of a panic.
+fn print(text: &str) -> Result<Verdict> {
+    let mut out = std::io::stdout().lock();
+    out.write_all(text.as_bytes())
+        .and_then(|()| out.flush())
+        .map_err(|source| MeshError::io("cannot write to standard output", source))?;
+    Ok(Verdict::Done)
+}
--- /dev/null
+++ b/src/command/apply.rs
@@ -0,0 +1,228 @@
+//! Putting edited lists in force.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use prost::Message;
+use sha2::{Digest, Sha256};
+use tokio::time::{Instant, sleep};
+use uuid::Uuid;
+
+use crate::config::OperatorConfig;
+use crate::control_client::ControlClient;
+use crate::error::{MeshError, Result};
+use crate::generated::{ApplyReply, ApplyRequest, PlanSet, StatusReply};
+use crate::plans::{PlanBook, encode_hex};
+
+use super::arguments::ApplyOptions;
+use super::change_folder::{ChangeFolder, PendingChange};
+use super::lists::{describe_difference, fetch_book, read_book};
+use super::status::describe_node;
+use super::{Verdict, print};
+
+const WAIT_BOUND: Duration = Duration::from_secs(30);
+const POLL_PAUSE: Duration = Duration::from_millis(250);
+// A new leader knows all live nodes after one lease time of 3 s.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
+
+pub(super) async fn apply(
+    client: &ControlClient,
+    config: &OperatorConfig,
+    options: &ApplyOptions,
+) -> Result<Verdict> {
+    let book = read_book(&options.files)?;
+    let folder = ChangeFolder::open(&config.change_folder)?;
+    let change = prepare_change(client, &folder, options, &book).await?;
+    let before = if options.is_waiting {
+        client.status().await.ok()
+    } else {
+        None
+    };
+    let request = ApplyRequest {
+        change_id: change.change_id.clone(),
+        base_version: change.base_version,
+        plans: Some(PlanSet::from(&book)),
+        relayed: false,
+    };
+    let reply = match client.apply_plans(request).await {
+        Ok(reply) => reply,
+        Err(error) => return Err(unknown_result(&folder, &change, &error)),
+    };
+    if reply.accepted {
+        folder.record_version(reply.version)?;
+    }
+    folder.remove_pending()?;
+    let verdict = report_result(&change, &reply, &book)?;
+    if verdict == Verdict::Done && options.is_waiting {
+        return wait_for_nodes(client, reply.version, before).await;
+    }
+    Ok(verdict)
+}
+
+/// Returns the pending change of these lists, or stores a new one before anything is sent.
+async fn prepare_change(
+    client: &ControlClient,
+    folder: &ChangeFolder,
+    options: &ApplyOptions,
+    book: &PlanBook,
+) -> Result<PendingChange> {
+    let lists_sha256 = digest_lists(book);
+    if let Some(change) = folder.pending()? {
+        return resume_change(folder, options, change, &lists_sha256);
+    }
+    let base_version = match options.base_version {
+        Some(version) => version,
+        None => match folder.seen_version()? {
+            Some(version) => version,
+            None => fetch_book(client).await?.version(),
+        },
+    };
+    let change = PendingChange {
+        change_id: Uuid::new_v4().to_string(),
+        base_version,
+        lists_sha256,
+    };
+    folder.store_pending(&change)?;
+    Ok(change)
+}
+
+fn resume_change(
+    folder: &ChangeFolder,
+    options: &ApplyOptions,
+    change: PendingChange,
+    lists_sha256: &str,
+) -> Result<PendingChange> {
+    let is_same_base = options
+        .base_version
+        .is_none_or(|version| version == change.base_version);
+    if change.lists_sha256 != lists_sha256 || !is_same_base {
+        return Err(MeshError::Control(format!(
+            "the result of change {} with other lists is not known; apply those lists again, or remove {} to give \
+             the change up",
+            change.change_id,
+            folder.pending_path().display(),
+        )));
+    }
+    eprintln!("resending change {}", change.change_id);
+    Ok(change)
+}
+
+fn unknown_result(folder: &ChangeFolder, change: &PendingChange, error: &MeshError) -> MeshError {
+    MeshError::ControlUnavailable(format!(
+        "{error}; the result of change {} is not known, and the same command sends it again (kept in {})",
+        change.change_id,
+        folder.pending_path().display(),
+    ))
+}
+
+fn report_result(change: &PendingChange, reply: &ApplyReply, book: &PlanBook) -> Result<Verdict> {
+    if reply.accepted {
+        print(&format!(
+            "accepted: version {} (change {})\n",
+            reply.version, change.change_id
+        ))?;
+        return Ok(Verdict::Done);
+    }
+    if !reply.findings.is_empty() {
+        eprintln!("refused:\n{}", reply.findings.join("\n"));
+        return Ok(Verdict::BadInput);
+    }
+    eprintln!(
+        "conflict: the lists were made from version {}, version {} was in force",
+        change.base_version, reply.version
+    );
+    if let Some(current) = &reply.current {
+        let current = PlanBook::try_from(current)?;
+        print(&describe_difference(&current, book))?;
+    }
+    Ok(Verdict::Conflict)
+}
+
+async fn wait_for_nodes(
+    client: &ControlClient,
+    version: u64,
+    before: Option<StatusReply>,
+) -> Result<Verdict> {
+    let deadline = Instant::now() + WAIT_BOUND;
+    let mut known = KnownNodes::new(before);
+    let mut behind;
+    loop {
+        let problem = match client.status().await {
+            Ok(status) => known.find_behind(&status, version),
+            Err(error) => vec![error.to_string()],
+        };
+        behind = problem;
+        if behind.is_empty() {
+            print(&format!("version {version} is in force at all nodes\n"))?;
+            return Ok(Verdict::Done);
+        }
+        if Instant::now() >= deadline {
+            break;
+        }
+        sleep(POLL_PAUSE).await;
+    }
+    eprintln!("version {version} is accepted; still behind:");
+    for node in behind {
+        eprintln!("  {node}");
+    }
+    Ok(Verdict::Failed)
+}
+
+/// Nodes that were alive before the change. After a change of the leader they count as behind until they had time to
+/// announce themselves again.
+#[derive(Debug)]
+struct KnownNodes {
+    term: u64,
+    node_ids: BTreeSet<Vec<u8>>,
+    term_since: Option<Instant>,
+}
+
+impl KnownNodes {
+    fn new(status: Option<StatusReply>) -> Self {
+        let status = status.unwrap_or_default();
+        Self {
+            term: status.term,
+            node_ids: node_ids(&status),
+            term_since: None,
+        }
+    }
+
+    fn find_behind(&mut self, status: &StatusReply, version: u64) -> Vec<String> {
+        if status.term != self.term {
+            self.term = status.term;
+            self.term_since = Some(Instant::now());
+        }
+        if status.leader_id == 0 {
+            return vec!["no leader is known".to_owned()];
+        }
+        let late = status
+            .nodes
+            .iter()
+            .filter(|node| node.plan_version < version);
+        let mut behind: Vec<String> = late
+            .map(|node| format!("{} version={}", describe_node(node), node.plan_version))
+            .collect();
+        let is_settling = self
+            .term_since
+            .is_some_and(|since| since.elapsed() < SETTLE_TIME);
+        if is_settling {
+            let missing = self.node_ids.difference(&node_ids(status)).count();
+            if missing > 0 {
+                behind.push(format!(
+                    "{missing} nodes not heard of since the leader changed"
+                ));
+            }
+        }
+        behind
+    }
+}
+
+fn node_ids(status: &StatusReply) -> BTreeSet<Vec<u8>> {
+    let nodes = status.nodes.iter().filter_map(|node| node.node.as_ref());
+    nodes.map(|node| node.node_id.to_vec()).collect()
+}
+
+fn digest_lists(book: &PlanBook) -> String {
+    let digest = Sha256::digest(PlanSet::from(book).encode_to_vec());
+    encode_hex(&digest)
+}
--- a/src/plans.rs
+++ b/src/plans.rs
@@ -6,5 +6,6 @@
 mod list_file;
 
 pub use book::{CallerEntry, GrantEntry, PlanBook, PlanEntry};
+pub(crate) use difference::encode_hex;
 pub use difference::{PlanDifference, diff_books};
 pub use list_file::{ListFiles, read_lists};
