Measure the adaptive limit by cohorts of starts

Cause: the first work to finish after a cut is the short work, so every cut looked like an improvement and was kept. The limit fell to 11 of 35 slots under noise alone (sigma 1.6, load 0.7). Ruled out: throughput of the node as the measure; it has the same noise and mixes in changes of demand.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -3,6 +3,7 @@
 //! [`AdmissionControl`] decides which work runs, waits or is refused. It reads no clock: every call carries the
 //! current time.
 
+mod cohort;
 mod control;
 mod level;
 mod limit;
--- a/src/admission/control.rs
+++ b/src/admission/control.rs
@@ -8,7 +8,7 @@
 use crate::types::{PriorityClass, RefusalReason, RequestPriority, TickTime};
 
 use super::level::LevelControl;
-use super::limit::{BaselineChange, ConcurrencyLimit};
+use super::limit::ConcurrencyLimit;
 use super::queue::{QueueRank, WorkQueue};
 use super::running::RunningWork;
 use super::service_time::ServiceTimes;
@@ -26,7 +26,10 @@
 #[derive(Debug, Clone, Copy)]
 enum WorkState {
     Queued(QueueRank),
-    Running { since: TickTime, generation: u32 },
+    Running {
+        since: TickTime,
+        cohort: Option<u32>,
+    },
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -89,13 +92,16 @@
         let Some(entry) = self.entries.get(key).copied() else {
             return actions;
         };
-        let WorkState::Running { since, generation } = entry.state else {
+        let WorkState::Running { since, cohort } = entry.state else {
             return actions;
         };
         self.entries.remove(key);
         let class = entry.request.priority.class();
         self.running.remove(since, class);
-        self.measure(now, class, now - since, generation, result);
+        let log_ratio = self.measure(now, class, now - since, result);
+        if let Some(cohort) = cohort {
+            self.limit.finish(cohort, log_ratio, result);
+        }
         self.refresh(now);
         self.start_ready(now, &mut actions);
         actions
@@ -120,11 +126,10 @@
         let mut actions = Vec::new();
         self.refresh(now);
         self.refuse_hopeless(now, &mut actions);
-        if let BaselineChange::Scale(factor) = self.limit.evaluate() {
-            self.times.scale_long(factor);
-        }
+        self.limit.evaluate();
         self.sample_level();
         self.level.update(now, self.settings.level_period);
+        self.refuse_shut_classes(&mut actions);
         self.start_ready(now, &mut actions);
         actions
     }
@@ -220,11 +225,8 @@
         if request.priority.class() < self.level.get().class() {
             return OfferDecision::Refused(RefusalReason::AdmissionLevel);
         }
-        let key = self.entries.insert(WorkEntry {
-            request,
-            state: self.running_state(now),
-        });
-        self.occupy(now, request.priority.class());
+        let state = self.occupy(now, request.priority.class());
+        let key = self.entries.insert(WorkEntry { request, state });
         OfferDecision::Started(key)
     }
 
@@ -260,7 +262,11 @@
         request: &WorkRequest,
         actions: &mut Vec<WorkAction>,
     ) -> Result<(), RefusalReason> {
-        let is_shut_out = request.priority < self.level.get();
+        let level = self.level.get();
+        if request.priority.class() < level.class() {
+            return Err(RefusalReason::AdmissionLevel);
+        }
+        let is_shut_out = request.priority < level;
         let bound = if is_shut_out { 0 } else { self.queue_bound() };
         if self.queue.len() < bound + self.running.count_below(rank.class()) {
             return Ok(());
@@ -310,23 +316,17 @@
         if let Err(reason) = self.check_deadline(now, &request) {
             return Some(self.refuse(key, reason));
         }
-        let state = self.running_state(now);
+        let state = self.occupy(now, request.priority.class());
         self.entries.get_mut(key)?.state = state;
-        self.occupy(now, request.priority.class());
         Some(WorkAction::Start(key))
     }
 
-    fn running_state(&self, now: TickTime) -> WorkState {
+    fn occupy(&mut self, now: TickTime, class: PriorityClass) -> WorkState {
+        self.running.add(now, class);
+        let is_at_limit = !self.has_free_slot();
         WorkState::Running {
             since: now,
-            generation: self.limit.generation(),
-        }
-    }
-
-    fn occupy(&mut self, now: TickTime, class: PriorityClass) {
-        self.running.add(now, class);
-        if !self.has_free_slot() {
-            self.limit.note_reached();
+            cohort: self.limit.start(is_at_limit),
         }
     }
 
@@ -350,26 +350,37 @@
         }
     }
 
+    /// Refuses queued work of classes that the level shuts out as a whole, so that it does not start while the level
+    /// refuses a part of a higher class.
+    fn refuse_shut_classes(&mut self, actions: &mut Vec<WorkAction>) {
+        let class = self.level.get().class();
+        while self
+            .queue
+            .lowest()
+            .is_some_and(|lowest| lowest.class() < class)
+        {
+            let Some(key) = self.queue.pop_lowest() else {
+                return;
+            };
+            actions.push(self.refuse(key, RefusalReason::AdmissionLevel));
+        }
+    }
+
     fn measure(
         &mut self,
         now: TickTime,
         class: PriorityClass,
-        time: Duration,
-        generation: u32,
+        service_time: Duration,
         result: WorkResult,
-    ) {
+    ) -> Option<f64> {
         if result == WorkResult::NotStarted {
-            return;
+            return None;
         }
         self.level.note_finish();
         // A quick failure says nothing about the service time; a slow one shows that it is at least that long.
-        let is_sample = result == WorkResult::Success || time > self.times.expected(now, class);
-        let ratio = if is_sample {
-            self.times.record(now, class, time)
-        } else {
-            1.0
-        };
-        self.limit.record(generation, ratio, result);
+        let is_sample =
+            result == WorkResult::Success || service_time > self.times.expected(now, class);
+        is_sample.then(|| self.times.record(now, class, service_time))
     }
 
     fn sample_level(&mut self) {
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -3,40 +3,35 @@
 //! A rise of the service time over its long-term mean has two possible causes. If the target shares a saturated
 //! resource among its requests, fewer requests at a time are each faster and nothing is lost. If each request is
 //! slower on its own, fewer requests at a time only lose throughput. The limit tells them apart by a trial cut: the
-//! cut stays only if the service time falls with it.
+//! cut stays only if the service time, or the share of failures, falls with it.
 
+use super::cohort::{CohortResult, StartCohort};
 use super::work::WorkResult;
 
+/// Factor of a trial cut. A smaller cut cannot be told from the noise of a cohort.
+const CUT: f64 = 0.6;
 /// Service time over its long-term mean that starts a trial cut.
 const TOLERANCE: f64 = 1.5;
-/// Factor of a trial cut.
-const CUT: f64 = 0.7;
-/// Ratio of service times after and before a cut that confirms it, halfway between no effect and full effect.
-const CONFIRM: f64 = 0.85;
-/// Ratio below which the long-term mean follows at once, because the target has become faster.
-const FASTER: f64 = 0.8;
-/// Samples in one evaluation. Fewer let the noise of exponential service times confirm cuts by chance.
-const MIN_SAMPLES: u32 = 96;
-/// Share of failures in an evaluation above which the limit is cut.
-const FAILURE_RATIO: f64 = 0.5;
+/// Share of the full effect of a cut that confirms it.
+const CONFIRM_EFFECT: f64 = 0.5;
+/// Rise of the share of failures that starts a trial cut, and the fall that confirms it.
+const FAILURE_RISE: f64 = 0.3;
+const FAILURE_FALL: f64 = 0.75;
+/// Share of starts at the limit above which a change of the limit has an effect that can be measured.
+const BUSY_SHARE: f64 = 0.5;
 /// The limit stays above this part of the slots, so that a wrong estimate cannot stop the target.
 const FLOOR_DIVISOR: u32 = 8;
-/// Growth of the limit for each evaluation in which it was reached.
-const GROWTH: f64 = 0.1;
-/// Samples with a larger ratio count as this much, so that single outliers do not decide.
-const MAX_RATIO: f64 = 8.0;
-
-/// Change that an evaluation makes to the long-term mean.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) enum BaselineChange {
-    Keep,
-    Scale(f64),
-}
+/// Growth of the limit for each busy cohort without a rise.
+const GROWTH: f64 = 0.25;
+/// Weight of a cohort in the baseline when it is slower than the baseline.
+const RISE_WEIGHT: f64 = 0.05;
+/// Weight of a cohort in the baseline when it is faster; a target that recovers or warms up is believed sooner.
+const FALL_WEIGHT: f64 = 0.3;
 
 #[derive(Debug, Clone, Copy)]
 struct TrialCut {
     limit_before: f64,
-    ratio_before: f64,
+    before: CohortResult,
 }
 
 /// Concurrency limit that follows measured service times and failures.
@@ -44,12 +39,9 @@
 pub(super) struct ConcurrencyLimit {
     slots: u32,
     limit: f64,
+    cohort: StartCohort,
+    baseline: Option<CohortResult>,
     trial: Option<TrialCut>,
-    generation: u32,
-    ratio_sum: f64,
-    samples: u32,
-    failures: u32,
-    was_reached: bool,
 }
 
 impl ConcurrencyLimit {
@@ -57,116 +49,99 @@
         Self {
             slots,
             limit: f64::from(slots),
+            cohort: StartCohort::default(),
+            baseline: None,
             trial: None,
-            generation: 0,
-            ratio_sum: 0.0,
-            samples: 0,
-            failures: 0,
-            was_reached: false,
         }
     }
 
     pub(super) fn get(&self) -> u32 {
-        (self.limit as u32).clamp(self.slots.min(1), self.slots)
+        (self.limit.round() as u32).clamp(self.slots.min(1), self.slots)
     }
 
     pub(super) fn set_slots(&mut self, slots: u32) {
-        let share = self.limit / f64::from(self.slots.max(1));
-        let share = if self.slots == 0 { 1.0 } else { share };
+        let share = if self.slots == 0 {
+            1.0
+        } else {
+            self.limit / f64::from(self.slots)
+        };
         self.slots = slots;
         self.limit = f64::from(slots) * share;
         self.trial = None;
-        self.restart();
+        self.cohort.restart();
     }
 
-    /// Returns the number of the current limit; work carries it, so that only work started under it is measured.
-    pub(super) fn generation(&self) -> u32 {
-        self.generation
+    /// Counts started work and returns the number of its cohort, if it belongs to one.
+    pub(super) fn start(&mut self, is_at_limit: bool) -> Option<u32> {
+        self.cohort.start(is_at_limit)
     }
 
-    pub(super) fn note_reached(&mut self) {
-        self.was_reached = true;
+    /// Adds finished work with the logarithm of its service time over the long-term mean.
+    pub(super) fn finish(&mut self, cohort: u32, log_ratio: Option<f64>, result: WorkResult) {
+        self.cohort.finish(cohort, log_ratio, result);
     }
 
-    /// Adds finished work with its ratio to the long-term mean.
-    pub(super) fn record(&mut self, generation: u32, ratio: f64, result: WorkResult) {
-        if generation != self.generation {
+    /// Adapts the limit once a cohort has finished under it.
+    pub(super) fn evaluate(&mut self) {
+        let Some(result) = self.cohort.take_result() else {
             return;
-        }
-        match result {
-            WorkResult::Success => {
-                self.samples += 1;
-                self.ratio_sum += ratio.min(MAX_RATIO);
-            }
-            WorkResult::Failure => self.failures += 1,
-            WorkResult::NotStarted => {}
-        }
-    }
-
-    /// Adapts the limit once enough work has finished under it.
-    pub(super) fn evaluate(&mut self) -> BaselineChange {
-        let total = self.samples + self.failures;
-        if total < MIN_SAMPLES {
-            return BaselineChange::Keep;
-        }
-        if f64::from(self.failures) > FAILURE_RATIO * f64::from(total) {
-            self.trial = None;
-            self.change_limit(self.limit * CUT);
-            return BaselineChange::Keep;
-        }
-        let ratio = self.ratio_sum / f64::from(self.samples.max(1));
+        };
         match self.trial.take() {
-            Some(trial) => self.end_trial(trial, ratio),
-            None => self.follow(ratio),
+            Some(trial) => self.end_trial(trial, result),
+            None => self.follow(result),
         }
     }
 
-    fn end_trial(&mut self, trial: TrialCut, ratio: f64) -> BaselineChange {
-        if ratio < trial.ratio_before * CONFIRM {
-            self.restart();
-            return BaselineChange::Keep;
+    fn end_trial(&mut self, trial: TrialCut, result: CohortResult) {
+        let full_effect = (trial.limit_before / self.limit).ln();
+        let is_faster = result.log_ratio < trial.before.log_ratio - CONFIRM_EFFECT * full_effect;
+        let fails_less = trial.before.failure_share > FAILURE_RISE
+            && result.failure_share < trial.before.failure_share * FAILURE_FALL;
+        if !is_faster && !fails_less {
+            self.limit = trial.limit_before;
+            self.baseline = Some(trial.before);
         }
-        self.change_limit(trial.limit_before);
-        BaselineChange::Scale(ratio)
     }
 
-    fn follow(&mut self, ratio: f64) -> BaselineChange {
-        if ratio > TOLERANCE && self.was_reached && self.limit > self.floor() {
-            self.trial = Some(TrialCut {
-                limit_before: self.limit,
-                ratio_before: ratio,
-            });
-            self.change_limit(self.limit * CUT);
-            return BaselineChange::Keep;
-        }
-        if self.was_reached && ratio <= TOLERANCE {
-            self.change_limit(self.limit + (self.limit * GROWTH).max(1.0));
-        } else {
-            self.restart();
+    fn follow(&mut self, result: CohortResult) {
+        let baseline = *self.baseline.get_or_insert(result);
+        let has_risen = result.log_ratio > baseline.log_ratio + TOLERANCE.ln()
+            || result.failure_share > baseline.failure_share + FAILURE_RISE;
+        let is_busy = result.busy_share > BUSY_SHARE;
+        if has_risen && is_busy {
+            self.begin_trial(result);
+            return;
         }
-        if ratio < FASTER {
-            return BaselineChange::Scale(ratio);
+        self.baseline = Some(CohortResult {
+            log_ratio: follow_value(baseline.log_ratio, result.log_ratio),
+            failure_share: follow_value(baseline.failure_share, result.failure_share),
+            ..result
+        });
+        if is_busy {
+            let grown = self.limit + (self.limit * GROWTH).max(1.0);
+            self.limit = grown.min(f64::from(self.slots));
         }
-        BaselineChange::Keep
-    }
-
-    fn floor(&self) -> f64 {
-        f64::from(self.slots.div_ceil(FLOOR_DIVISOR))
     }
 
-    fn change_limit(&mut self, limit: f64) {
-        let before = self.get();
-        self.limit = limit.clamp(self.floor(), f64::from(self.slots));
-        if self.get() != before {
-            self.generation = self.generation.wrapping_add(1);
+    fn begin_trial(&mut self, before: CohortResult) {
+        let floor = f64::from(self.slots.div_ceil(FLOOR_DIVISOR));
+        let cut = (self.limit * CUT).max(floor);
+        if cut >= self.limit {
+            return;
         }
-        self.restart();
+        self.trial = Some(TrialCut {
+            limit_before: self.limit,
+            before,
+        });
+        self.limit = cut;
     }
+}
 
-    fn restart(&mut self) {
-        self.ratio_sum = 0.0;
-        self.samples = 0;
-        self.failures = 0;
-        self.was_reached = false;
-    }
+fn follow_value(baseline: f64, value: f64) -> f64 {
+    let weight = if value < baseline {
+        FALL_WEIGHT
+    } else {
+        RISE_WEIGHT
+    };
+    baseline + (value - baseline) * weight
 }
--- a/src/admission/service_time.rs
+++ b/src/admission/service_time.rs
@@ -12,15 +12,32 @@
 const FADE_HALF_LIFE_S: f64 = 1.0;
 /// Time constant of the long-term mean.
 const LONG_TIME_S: f64 = 30.0;
+/// Shorter samples count as this long.
+const LEAST_SAMPLE: Duration = Duration::from_micros(1);
 
 #[derive(Debug, Clone, Copy, Default)]
 struct ClassTimes {
     short_s: f64,
-    long_s: f64,
+    long_log: f64,
     samples: u32,
     last_sample: TickTime,
 }
 
+impl ClassTimes {
+    /// Moves the long-term mean of logarithms and returns the distance of the sample from it.
+    fn record_long(&mut self, sample_log: f64, elapsed_s: f64) -> f64 {
+        self.samples = self.samples.saturating_add(1);
+        let distance = if self.samples == 1 {
+            0.0
+        } else {
+            sample_log - self.long_log
+        };
+        let weight = (elapsed_s / LONG_TIME_S).max(1.0 / f64::from(self.samples));
+        self.long_log += (sample_log - self.long_log) * weight.min(1.0);
+        distance
+    }
+}
+
 /// Short-term and long-term means of service time for each class.
 #[derive(Debug, Default)]
 pub(super) struct ServiceTimes {
@@ -30,31 +47,21 @@
 }
 
 impl ServiceTimes {
-    /// Adds a sample and returns its ratio to the long-term mean of its class before the sample.
+    /// Adds a sample and returns the logarithm of its ratio to the long-term mean of its class before the sample.
     pub(super) fn record(
         &mut self,
         now: TickTime,
         class: PriorityClass,
         service_time: Duration,
     ) -> f64 {
-        let seconds = service_time.as_secs_f64().max(f64::MIN_POSITIVE);
+        let seconds = service_time.max(LEAST_SAMPLE).as_secs_f64();
         self.overall_s = blend(self.overall_s, seconds, SHORT_WEIGHT);
         self.last_sample = now;
         let times = &mut self.classes[class.index()];
-        times.short_s = blend(times.short_s, seconds, SHORT_WEIGHT);
-        let ratio = if times.samples == 0 {
-            1.0
-        } else {
-            seconds / times.long_s
-        };
-        times.samples = times.samples.saturating_add(1);
         let elapsed_s = (now - times.last_sample).as_secs_f64();
-        let weight = (elapsed_s / LONG_TIME_S)
-            .max(1.0 / f64::from(times.samples))
-            .min(1.0);
-        times.long_s = blend(times.long_s, seconds, weight);
+        times.short_s = blend(times.short_s, seconds, SHORT_WEIGHT);
         times.last_sample = now;
-        ratio
+        times.record_long(seconds.ln(), elapsed_s)
     }
 
     /// Returns the expected service time of a class, zero if unknown.
@@ -67,13 +74,6 @@
     pub(super) fn expected_overall(&self, now: TickTime) -> Duration {
         Duration::from_secs_f64(faded(now, self.last_sample, self.overall_s))
     }
-
-    /// Multiplies the long-term means, after a lasting change of the target's speed.
-    pub(super) fn scale_long(&mut self, factor: f64) {
-        for times in &mut self.classes {
-            times.long_s *= factor;
-        }
-    }
 }
 
 fn blend(mean: f64, sample: f64, weight: f64) -> f64 {
