Add the node and the stand-in target

Cause: the thin path of a request needs entry, mesh, admission and a target. Ruled out: hyper's connection API with a pool of our own; the pooled client of hyper-util tells a request that was never written from one that may have been, which is all that outcomes need.

--- /dev/null
+++ b/src/bin/ebonyjunction-stand-in/behaviour.rs
@@ -0,0 +1,117 @@
+//! How the stand-in answers, and changes to it.
+
+use std::str::FromStr;
+
+use ebonyjunction::error::{MeshError, Result};
+use serde::Deserialize;
+
+/// Where an answer breaks off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum CutMode {
+    /// In the middle of a body of announced length.
+    Length,
+    /// In the middle of a chunked body.
+    Chunked,
+}
+
+/// Path of a call to another service, with the service as its first segment.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "String")]
+pub(crate) struct CallPath(pub(crate) String);
+
+impl FromStr for CallPath {
+    type Err = MeshError;
+
+    fn from_str(raw: &str) -> Result<Self> {
+        Self::try_from(raw.to_owned())
+    }
+}
+
+impl TryFrom<String> for CallPath {
+    type Error = MeshError;
+
+    fn try_from(raw: String) -> Result<Self> {
+        if !raw.starts_with('/') || raw.len() < 2 {
+            return Err(MeshError::invalid("call", "must be /SERVICE/PATH"));
+        }
+        Ok(Self(raw))
+    }
+}
+
+/// What happens for each request.
+#[derive(Debug, Clone)]
+pub(crate) struct Behaviour {
+    pub(crate) service_ms: u64,
+    pub(crate) answer_bytes: usize,
+    pub(crate) status: u16,
+    pub(crate) cut: Option<CutMode>,
+    pub(crate) calls: Vec<CallPath>,
+}
+
+/// Change to the behaviour; absent fields stay as they are.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct BehaviourChange {
+    service_ms: Option<u64>,
+    answer_bytes: Option<usize>,
+    status: Option<u16>,
+    // The outer option tells an absent field from null, which ends the cutting.
+    #[serde(default, deserialize_with = "present")]
+    cut: Option<Option<CutMode>>,
+    calls: Option<Vec<CallPath>>,
+}
+
+#[expect(
+    clippy::option_option,
+    reason = "an absent field differs from null"
+)]
+fn present<'de, D>(deserializer: D) -> std::result::Result<Option<Option<CutMode>>, D::Error>
+where
+    D: serde::Deserializer<'de>,
+{
+    Option::deserialize(deserializer).map(Some)
+}
+
+impl BehaviourChange {
+    /// Reads a change from JSON.
+    pub(crate) fn parse(text: &[u8]) -> Result<Self> {
+        serde_json::from_slice(text)
+            .map_err(|error| MeshError::invalid("behaviour", error.to_string()))
+    }
+
+    /// Reads the change that a query asks for; unknown names are ignored.
+    pub(crate) fn from_query(query: &str) -> Self {
+        let mut change = Self::default();
+        for (name, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
+            match name {
+                "service_ms" => change.service_ms = value.parse().ok(),
+                "answer_bytes" => change.answer_bytes = value.parse().ok(),
+                "status" => change.status = value.parse().ok(),
+                "cut" if value == "length" => change.cut = Some(Some(CutMode::Length)),
+                "cut" if value == "chunked" => change.cut = Some(Some(CutMode::Chunked)),
+                _ => {}
+            }
+        }
+        change
+    }
+
+    /// Applies the change.
+    pub(crate) fn apply(self, behaviour: &mut Behaviour) {
+        if let Some(service_ms) = self.service_ms {
+            behaviour.service_ms = service_ms;
+        }
+        if let Some(answer_bytes) = self.answer_bytes {
+            behaviour.answer_bytes = answer_bytes;
+        }
+        if let Some(status) = self.status {
+            behaviour.status = status;
+        }
+        if let Some(cut) = self.cut {
+            behaviour.cut = cut;
+        }
+        if let Some(calls) = self.calls {
+            behaviour.calls = calls;
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/ebonyjunction-stand-in/counts.rs
@@ -0,0 +1,57 @@
+//! Executions that the stand-in counts.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+// A long bench sends a new request id each time; beyond this number only the totals go on counting.
+const MAX_COUNTED: usize = 200_000;
+
+/// Counts of executions.
+#[derive(Debug, Clone, Default, Serialize)]
+pub(crate) struct ExecutionCounts {
+    started: u64,
+    finished: u64,
+    cancelled: u64,
+    in_flight: u64,
+    peak: u64,
+    keys: BTreeMap<String, u64>,
+    requests: BTreeMap<String, u64>,
+}
+
+impl ExecutionCounts {
+    /// Counts an execution that begins.
+    pub(crate) fn start(&mut self, key: Option<&str>, request: Option<&str>) {
+        self.started += 1;
+        self.in_flight += 1;
+        self.peak = self.peak.max(self.in_flight);
+        add(&mut self.keys, key);
+        add(&mut self.requests, request);
+    }
+
+    /// Counts an execution that ends.
+    pub(crate) fn end(&mut self, is_finished: bool) {
+        self.in_flight -= 1;
+        if is_finished {
+            self.finished += 1;
+        } else {
+            self.cancelled += 1;
+        }
+    }
+
+    /// Returns the number of executions that go on.
+    pub(crate) fn in_flight(&self) -> u64 {
+        self.in_flight
+    }
+}
+
+fn add(counts: &mut BTreeMap<String, u64>, name: Option<&str>) {
+    let Some(name) = name else {
+        return;
+    };
+    if let Some(count) = counts.get_mut(name) {
+        *count += 1;
+    } else if counts.len() < MAX_COUNTED {
+        counts.insert(name.to_owned(), 1);
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,5 +14,5 @@
 pub(crate) use lifecycle::{LifecycleEvent, NodePhase};
 pub(crate) use plan_view::PlanView;
 pub use state::NodeState;
-pub(crate) use state::lock;
+pub(crate) use state::{RetryState, lock};
 pub(crate) use target::{Announcement, StartSignal};
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -84,7 +84,6 @@
     now: TickTime,
 ) -> HeartbeatRequest {
     let demands = lock(&state.shares).demands(now);
-    let services = lock(&state.called_services);
     HeartbeatRequest {
         node: Some(node_info(state)),
         plan_version: lock(&state.plans).version(),
@@ -94,7 +93,7 @@
         relayed: false,
         // Outside callers may name any service at any node, and the first call must not wait for a heartbeat.
         all_services: true,
-        services: services.iter().map(ToString::to_string).collect(),
+        services: Vec::new(),
     }
 }
 
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -1,6 +1,5 @@
 //! Lifecycle of a node process.
 
-use statig::blocking::IntoStateMachineExt;
 use statig::prelude::*;
 
 /// Phase of the process.
@@ -28,11 +27,16 @@
 }
 
 /// Runs the lifecycle and remembers its phase.
-#[derive(Debug)]
 pub(crate) struct LifecycleMachine {
     machine: StateMachine<NodeLifecycle>,
 }
 
+impl std::fmt::Debug for LifecycleMachine {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "LifecycleMachine({:?})", self.phase())
+    }
+}
+
 impl LifecycleMachine {
     /// Creates the machine of a process that starts.
     pub(crate) fn new() -> Self {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use cadence::{Counted, StatsdClient, Timed};
+use cadence::{CountedExt, StatsdClient, Timed};
 use http::HeaderValue;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -187,14 +187,11 @@
             Err(wait) => wait,
         };
         self.rate_wanted.notify_one();
-        let has_share = lock(&self.shares).held_rate(self.now(), &caller.name) > 0;
-        if has_share || self.rate_waiters.fetch_add(1, Ordering::Relaxed) >= MAX_SHARE_WAITERS {
-            if !has_share {
-                self.rate_waiters.fetch_sub(1, Ordering::Relaxed);
-            }
+        let waiters = self.rate_waiters.fetch_add(1, Ordering::Relaxed);
+        let waiter = ShareWaiter(&self.rate_waiters);
+        if waiters >= MAX_SHARE_WAITERS {
             return Err(wait);
         }
-        let waiter = ShareWaiter(&self.rate_waiters);
         let _ = timeout(SHARE_WAIT, granted).await;
         drop(waiter);
         self.try_token(caller, plan)
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -237,7 +237,8 @@
         })?;
         let report = decode_report(response.headers());
         let is_own = required(response.headers(), ATTEMPT_ID)
-            .is_ok_and(|id| AttemptId::try_from(id) == Ok(context.attempt_id));
+            .and_then(AttemptId::try_from)
+            .is_ok_and(|id| id == context.attempt_id);
         let answer = InboundAnswer::receive(state, response, &method).await;
         match (report, answer) {
             (Some(report), Some(answer)) if is_own => Ok(HopAnswer {
