--- /dev/null
+++ b/tests/fleet/mod.rs
@@ -0,0 +1,388 @@
+//! Starts whole meshes of real processes on loopback for tests and benches.
+
+#![allow(dead_code, reason = "each test binary uses a part of this module")]
+
+use std::fmt::Write as _;
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use tempfile::TempDir;
+
+pub(crate) const MESH_TOKEN: &str = "test-mesh-token-0123456789";
+pub(crate) const CREDENTIAL: &str = "demo-reseller-credential";
+/// Generous bound on anything that a healthy mesh does.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+const POLL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Polls until the check returns a value; panics with the description after the bound.
+pub(crate) fn wait_for<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = check() {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "timed out waiting for {what}");
+        std::thread::sleep(POLL_PAUSE);
+    }
+}
+
+/// Reserves a free loopback port by binding it for a moment.
+pub(crate) fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+/// One child process; killed when dropped.
+#[derive(Debug)]
+pub(crate) struct Process {
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    pub(crate) fn start(program: &str, arguments: &[String], log: PathBuf) -> Self {
+        let output = File::create(&log).expect("log file");
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone().expect("log file"))
+            .stderr(output)
+            .spawn()
+            .expect("program starts");
+        Self { child, log }
+    }
+
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub(crate) fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Waits for the line of a listener and returns its address.
+    pub(crate) fn listening(&self, listener: &str) -> SocketAddr {
+        wait_for(
+            &format!("listener {listener} in {}", self.log.display()),
+            || {
+                let text = self.log_text();
+                let line = text
+                    .lines()
+                    .find(|line| line.contains("event=listening") && line.contains(listener))?;
+                let (_, rest) = line.split_once(" address=")?;
+                rest.split_whitespace().next()?.parse().ok()
+            },
+        )
+    }
+
+    pub(crate) fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([name, &self.id().to_string()])
+            .status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Sends SIGTERM and returns the exit code.
+    pub(crate) fn stop(&mut self) -> Option<i32> {
+        self.signal("-TERM");
+        self.wait_exit()
+    }
+
+    pub(crate) fn wait_exit(&mut self) -> Option<i32> {
+        wait_for("process exit", || self.child.try_wait().expect("child")).code()
+    }
+
+    pub(crate) fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Resident memory in KiB.
+    pub(crate) fn rss_kib(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+        number.unwrap_or(0)
+    }
+
+    /// Processor time used so far.
+    pub(crate) fn cpu_time(&self) -> Duration {
+        const TICKS_PER_S: u64 = 100;
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.id())).unwrap_or_default();
+        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
+        let ticks = |position: usize| fields.get(position).and_then(|raw| raw.parse().ok());
+        let total: u64 = ticks(11).unwrap_or(0) + ticks(12).unwrap_or(0);
+        Duration::from_millis(1000 / TICKS_PER_S * total)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Control replicas of one mesh.
+#[derive(Debug)]
+pub(crate) struct ControlFleet {
+    pub(crate) addresses: Vec<SocketAddr>,
+    pub(crate) replicas: Vec<Option<Process>>,
+    folder: PathBuf,
+}
+
+impl ControlFleet {
+    pub(crate) fn start(folder: &Path, count: usize) -> Self {
+        let addresses = (0..count).map(|_| free_address()).collect();
+        let replicas = (0..count).map(|_| None).collect();
+        let mut fleet = Self {
+            addresses,
+            replicas,
+            folder: folder.to_owned(),
+        };
+        for position in 0..count {
+            fleet.start_replica(position);
+        }
+        fleet
+    }
+
+    pub(crate) fn data_folder(&self, position: usize) -> PathBuf {
+        self.folder.join(format!("control-{position}"))
+    }
+
+    pub(crate) fn start_replica(&mut self, position: usize) {
+        let mut settings = format!(
+            "replica_id = {}\ncontrol_address = \"{}\"\ndata_folder = \"{}\"\n\
+             mesh_token = \"{MESH_TOKEN}\"\nbootstrap = true\n",
+            position + 1,
+            self.addresses[position],
+            self.data_folder(position).display(),
+        );
+        for (other, address) in self.addresses.iter().enumerate() {
+            if other != position {
+                let id = other + 1;
+                let _ = write!(
+                    settings,
+                    "[[peer]]\nreplica_id = {id}\naddress = \"{address}\"\n"
+                );
+            }
+        }
+        let path = self.folder.join(format!("control-{position}.toml"));
+        fs::write(&path, settings).expect("settings");
+        let log = self.folder.join(format!("control-{position}.log"));
+        let program = env!("CARGO_BIN_EXE_ebonyjunction-control");
+        let process = Process::start(program, &settings_flags(&path), log);
+        self.replicas[position] = Some(process);
+    }
+
+    pub(crate) fn kill_replica(&mut self, position: usize) {
+        self.replicas[position] = None;
+    }
+}
+
+fn settings_flags(path: &Path) -> Vec<String> {
+    vec!["--settings".to_owned(), path.display().to_string()]
+}
+
+/// A service with its endpoints.
+#[derive(Debug, Clone)]
+pub(crate) struct ServiceSpec {
+    pub(crate) name: &'static str,
+    pub(crate) endpoints: usize,
+    pub(crate) slots: u32,
+    pub(crate) service_time: Duration,
+    /// Path called at another service for each request, such as `/stockroom/items`.
+    pub(crate) downstream: Option<&'static str>,
+}
+
+/// One target with its node.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) service: &'static str,
+    pub(crate) node: Process,
+    pub(crate) target: Process,
+    pub(crate) entry: SocketAddr,
+    pub(crate) mesh: SocketAddr,
+    pub(crate) local: SocketAddr,
+    pub(crate) target_address: SocketAddr,
+}
+
+/// A whole mesh; everything ends when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) control: ControlFleet,
+    pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) operator_settings: PathBuf,
+    pub(crate) folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts replicas and endpoints, applies the lists and waits until all nodes serve.
+    pub(crate) fn start(services: &[ServiceSpec], plans: &str, grants: &str) -> Self {
+        let folder = tempfile::tempdir().expect("temporary folder");
+        let control = ControlFleet::start(folder.path(), 3);
+        let operator_settings = folder.path().join("operator.toml");
+        let text = format!(
+            "control = [{}]\nmesh_token = \"{MESH_TOKEN}\"\nchange_folder = \"{}\"\n",
+            quote_addresses(&control.addresses),
+            folder.path().join("changes").display(),
+        );
+        fs::write(&operator_settings, text).expect("settings");
+        let mut fleet = Self {
+            control,
+            endpoints: Vec::new(),
+            operator_settings,
+            folder,
+        };
+        fleet.apply_when_ready(plans, grants);
+        for service in services {
+            for _ in 0..service.endpoints {
+                fleet.start_endpoint(service, "zone-a");
+            }
+        }
+        fleet.wait_ready();
+        fleet
+    }
+
+    /// Starts a node and its target.
+    pub(crate) fn start_endpoint(&mut self, service: &ServiceSpec, zone: &str) -> usize {
+        let position = self.endpoints.len();
+        let folder = self.folder.path();
+        let node = start_node(folder, position, zone, &self.control.addresses);
+        let (entry, mesh, local) = (
+            node.listening("listener=entry"),
+            node.listening("listener=mesh"),
+            node.listening("listener=local"),
+        );
+        let log = folder.join(format!("target-{position}.log"));
+        let target = start_target(service, local, log);
+        let target_address = target.listening("event=listening");
+        let service = service.name;
+        self.endpoints.push(Endpoint {
+            service,
+            node,
+            target,
+            entry,
+            mesh,
+            local,
+            target_address,
+        });
+        position
+    }
+
+    /// Runs the operator command.
+    pub(crate) fn operator(&self, arguments: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_ebonyjunction"))
+            .args(arguments)
+            .arg("--settings")
+            .arg(&self.operator_settings)
+            .output()
+            .expect("operator command runs")
+    }
+
+    /// Writes both lists and applies them once.
+    pub(crate) fn apply(&self, plans: &str, grants: &str, flags: &[&str]) -> Output {
+        let plans_path = self.folder.path().join("plans.toml");
+        let grants_path = self.folder.path().join("grants.toml");
+        fs::write(&plans_path, plans).expect("list");
+        fs::write(&grants_path, grants).expect("list");
+        let (plans_path, grants_path) = (path_text(&plans_path), path_text(&grants_path));
+        let mut arguments = vec![
+            "plans",
+            "apply",
+            "--plans",
+            &plans_path,
+            "--grants",
+            &grants_path,
+        ];
+        arguments.extend(flags);
+        self.operator(&arguments)
+    }
+
+    fn apply_when_ready(&self, plans: &str, grants: &str) {
+        wait_for("the first edit", || {
+            self.apply(plans, grants, &[])
+                .status
+                .success()
+                .then_some(())
+        });
+    }
+
+    fn wait_ready(&self) {
+        let count = self.endpoints.len();
+        wait_for("all nodes in the status", || {
+            let output = self.operator(&["status"]);
+            let text = String::from_utf8_lossy(&output.stdout).into_owned();
+            (text.matches("ready").count() >= count).then_some(())
+        });
+    }
+
+    /// Sends one request through the call program and returns its output.
+    pub(crate) fn call(&self, entry: SocketAddr, arguments: &[&str]) -> String {
+        let output = Command::new(env!("CARGO_BIN_EXE_ebonyjunction-call"))
+            .args(["--entry", &entry.to_string()])
+            .args(arguments)
+            .output()
+            .expect("call runs");
+        format!(
+            "{}{}",
+            String::from_utf8_lossy(&output.stdout),
+            String::from_utf8_lossy(&output.stderr)
+        )
+    }
+}
+
+fn path_text(path: &Path) -> String {
+    path.display().to_string()
+}
+
+fn quote_addresses(addresses: &[SocketAddr]) -> String {
+    let quoted: Vec<String> = addresses
+        .iter()
+        .map(|address| format!("\"{address}\""))
+        .collect();
+    quoted.join(", ")
+}
+
+/// Starts one node with free ports.
+pub(crate) fn start_node(
+    folder: &Path,
+    position: usize,
+    zone: &str,
+    control: &[SocketAddr],
+) -> Process {
+    let settings = format!(
+        "entry_address = \"127.0.0.1:0\"\nmesh_address = \"127.0.0.1:0\"\n\
+         local_address = \"127.0.0.1:0\"\nzone = \"{zone}\"\nregion = \"region-1\"\n\
+         mesh_token = \"{MESH_TOKEN}\"\ncontrol = [{}]\n",
+        quote_addresses(control),
+    );
+    let path = folder.join(format!("node-{position}.toml"));
+    fs::write(&path, settings).expect("settings");
+    let log = folder.join(format!("node-{position}.log"));
+    Process::start(
+        env!("CARGO_BIN_EXE_ebonyjunction-node"),
+        &settings_flags(&path),
+        log,
+    )
+}
+
+/// Starts a stand-in target beside a node.
+pub(crate) fn start_target(service: &ServiceSpec, node_local: SocketAddr, log: PathBuf) -> Process {
+    let mut arguments = Vec::new();
+    let mut flag = |name: &str, value: String| arguments.extend([name.to_owned(), value]);
+    flag("--service", service.name.to_owned());
+    flag("--node", node_local.to_string());
+    flag("--slots", service.slots.to_string());
+    flag("--service-ms", service.service_time.as_millis().to_string());
+    if let Some(path) = service.downstream {
+        flag("--call", path.to_owned());
+    }
+    Process::start(
+        env!("CARGO_BIN_EXE_ebonyjunction-stand-in"),
+        &arguments,
+        log,
+    )
+}
