Bound trial cuts in time and scale the queue with the service time

Cause: a trial cut of a target with 10 slots and 0.8 s per request lasted 17 s at 60% of the slots, and a wait bound of 20 ms is less than one request there, so slots idled under overload. The level multiplied its own reductions while a backlog drained. Trials now need two rounds of 64 starts to keep a cut and end after 3 s. Bounds on the wait are at least 1/4 (level) and 1/2 (queue) of the service time. The level follows the rate of finished work, corrected by the wait.

--- a/src/admission/cohort.rs
+++ b/src/admission/cohort.rs
@@ -1,33 +1,39 @@
 //! Measurement of work that started one after the other under one limit.
 
+use std::time::Duration;
+
+use crate::types::TickTime;
+
 use super::work::WorkResult;
 
-/// Work in one cohort. With service times that vary by their own mean, the mean of fewer is too uncertain to compare
-/// two limits.
-const COHORT_SIZE: u32 = 128;
-/// Work of a cohort that must have finished. Waiting for the slowest of all would delay the result for long; leaving
-/// out the same share each time keeps results comparable.
-const NEEDED_FINISHED: u32 = 116;
+/// Work of a cohort that must have finished, in percent. Waiting for the slowest of all would delay the result for
+/// long; leaving out the same share each time keeps results comparable.
+const NEEDED_PERCENT: u32 = 90;
 /// Samples that make a mean of service times meaningful.
 const MIN_SAMPLES: u32 = 32;
 
 /// Means over one cohort.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct CohortResult {
-    /// Mean logarithm of service time over its long-term mean; outliers weigh less than in a plain mean.
-    pub(super) log_ratio: f64,
+    /// Mean logarithm of service time over its long-term mean, in which outliers weigh less than in a plain mean;
+    /// absent if too little work has a meaningful service time.
+    pub(super) log_ratio: Option<f64>,
     pub(super) failure_share: f64,
     /// Share of the work that took the last free slot.
     pub(super) busy_share: f64,
+    /// Time from the first start to the result.
+    pub(super) duration: Duration,
 }
 
 /// Collects one cohort after another.
 ///
 /// Membership is decided at the start. Taking the first work to finish instead would prefer short work and make
 /// every new limit look faster than the one before.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct StartCohort {
+    size: u32,
     number: u32,
+    began: TickTime,
     started: u32,
     busy_starts: u32,
     finished: u32,
@@ -37,17 +43,35 @@
 }
 
 impl StartCohort {
-    pub(super) fn restart(&mut self) {
+    pub(super) const fn new(size: u32) -> Self {
+        Self {
+            size,
+            number: 0,
+            began: TickTime::from_millis(0),
+            started: 0,
+            busy_starts: 0,
+            finished: 0,
+            failures: 0,
+            samples: 0,
+            log_sum: 0.0,
+        }
+    }
+
+    /// Begins a cohort of the given size.
+    pub(super) fn restart(&mut self, size: u32) {
         *self = Self {
             number: self.number.wrapping_add(1),
-            ..Self::default()
+            ..Self::new(size)
         };
     }
 
-    pub(super) fn start(&mut self, is_at_limit: bool) -> Option<u32> {
-        if self.started == COHORT_SIZE {
+    pub(super) fn start(&mut self, now: TickTime, is_at_limit: bool) -> Option<u32> {
+        if self.started == self.size {
             return None;
         }
+        if self.started == 0 {
+            self.began = now;
+        }
         self.started += 1;
         self.busy_starts += u32::from(is_at_limit);
         Some(self.number)
@@ -65,22 +89,26 @@
         }
     }
 
-    /// Returns the means of a finished cohort and begins the next one.
-    pub(super) fn take_result(&mut self) -> Option<CohortResult> {
-        if self.finished < NEEDED_FINISHED {
+    /// Returns the means of the cohort once it has finished.
+    pub(super) fn result(&self, now: TickTime) -> Option<CohortResult> {
+        if self.finished * 100 < self.size * NEEDED_PERCENT {
             return None;
         }
-        let log_ratio = if self.samples < MIN_SAMPLES {
-            0.0
-        } else {
-            self.log_sum / f64::from(self.samples)
-        };
-        let result = CohortResult {
+        let log_ratio =
+            (self.samples >= MIN_SAMPLES).then(|| self.log_sum / f64::from(self.samples));
+        Some(CohortResult {
             log_ratio,
             failure_share: f64::from(self.failures) / f64::from(self.finished),
             busy_share: f64::from(self.busy_starts) / f64::from(self.started),
-        };
-        self.restart();
-        Some(result)
+            duration: now - self.began,
+        })
+    }
+
+    /// Returns how long the cohort has been going on.
+    pub(super) fn age(&self, now: TickTime) -> Duration {
+        if self.started == 0 {
+            return Duration::ZERO;
+        }
+        now - self.began
     }
 }
--- a/src/admission/control.rs
+++ b/src/admission/control.rs
@@ -15,9 +15,6 @@
 use super::settings::AdmissionSettings;
 use super::work::{OfferDecision, WorkAction, WorkKey, WorkRequest, WorkResult};
 
-/// The queue may hold at least one entry for this many slots. A slow target with few slots would otherwise have room
-/// for less than one entry within the bound on wait, and its slots would idle between arrivals.
-const SLOTS_PER_QUEUED: usize = 4;
 /// Mean time after which a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Share of the mean by which the time to come back varies either way, so that refused callers spread out.
@@ -49,6 +46,7 @@
     limit: ConcurrencyLimit,
     level: LevelControl,
     sequence: u64,
+    service_time: Duration,
     drain_interval: Duration,
 }
 
@@ -64,6 +62,7 @@
             limit: ConcurrencyLimit::new(slots),
             level: LevelControl::new(),
             sequence: 0,
+            service_time: Duration::ZERO,
             drain_interval: Duration::ZERO,
         }
     }
@@ -126,7 +125,7 @@
         let mut actions = Vec::new();
         self.refresh(now);
         self.refuse_hopeless(now, &mut actions);
-        self.limit.evaluate();
+        self.limit.evaluate(now);
         self.sample_level();
         self.level.update(now, self.settings.level_period);
         self.refuse_shut_classes(&mut actions);
@@ -185,18 +184,12 @@
         self.running.len() < self.limit.get() as usize
     }
 
-    /// Updates the expected time between two slots becoming free.
+    /// Updates the expected service time and the expected time between two slots becoming free.
     fn refresh(&mut self, now: TickTime) {
-        let limit = self.limit.get();
-        if limit == 0 {
-            return;
-        }
         // The age of running work shows a slowdown before the first slow work has finished.
-        let service = self
-            .times
-            .expected_overall(now)
-            .max(self.running.mean_age(now));
-        self.drain_interval = service / limit;
+        let age = self.running.mean_age(now);
+        self.service_time = self.times.expected_overall(now).max(age);
+        self.drain_interval = self.service_time / self.limit.get().max(1);
     }
 
     fn check_deadline(&self, now: TickTime, request: &WorkRequest) -> Result<(), RefusalReason> {
@@ -296,9 +289,10 @@
         if self.drain_interval.is_zero() {
             return self.settings.queue_limit;
         }
-        let in_time = self.settings.max_wait.as_secs_f64() / self.drain_interval.as_secs_f64();
-        let least = limit.div_ceil(SLOTS_PER_QUEUED);
-        (in_time as usize).max(least).min(self.settings.queue_limit)
+        let by_service = self.service_time.mul_f64(self.settings.max_wait_share);
+        let max_wait = self.settings.max_wait.max(by_service);
+        let in_time = max_wait.as_secs_f64() / self.drain_interval.as_secs_f64();
+        (in_time.ceil() as usize).min(self.settings.queue_limit)
     }
 
     fn start_ready(&mut self, now: TickTime, actions: &mut Vec<WorkAction>) {
@@ -326,7 +320,7 @@
         let is_at_limit = !self.has_free_slot();
         WorkState::Running {
             since: now,
-            cohort: self.limit.start(is_at_limit),
+            cohort: self.limit.start(now, is_at_limit),
         }
     }
 
@@ -385,9 +379,10 @@
 
     fn sample_level(&mut self) {
         let limit = self.limit.get().max(1);
-        let bound = self.settings.wait_bound.max(self.drain_interval);
-        let wait_ratio =
-            self.expected_wait().as_secs_f64() / bound.as_secs_f64().max(f64::MIN_POSITIVE);
+        let by_service = self.service_time.mul_f64(self.settings.wait_share);
+        let bound = self.settings.wait_bound.max(by_service);
+        let bound_s = bound.as_secs_f64().max(f64::MIN_POSITIVE);
+        let wait_ratio = self.expected_wait().as_secs_f64() / bound_s;
         let utilisation = self.running.len() as f64 / f64::from(limit);
         self.level.sample(wait_ratio, utilisation);
     }
--- a/src/admission/level.rs
+++ b/src/admission/level.rs
@@ -8,16 +8,12 @@
 
 /// Weight of the newest window in the rate of finished work.
 const RATE_WEIGHT: f64 = 0.3;
-/// Growth of the admitted rate per window while the wait is within its bound.
-const GROWTH: f64 = 0.05;
-/// Utilisation below which the level opens in proportion to the free slots.
-const FREE_UTILISATION: f64 = 0.9;
-/// Largest factor by which the admitted rate grows in one window.
-const MAX_OPENING: f64 = 2.0;
-/// Reduction of the admitted rate for a wait of twice the bound, so that the backlog drains.
-const DRAIN_GAIN: f64 = 0.1;
-/// Largest reduction below the rate of finished work.
+/// Change of the admitted rate for a wait that differs from its bound by the bound itself.
+const WAIT_GAIN: f64 = 0.1;
+/// Largest reduction below the capacity of the target, to drain a backlog.
 const MAX_DRAIN: f64 = 0.3;
+/// Largest factor by which free slots raise the estimate of capacity in one window.
+const MAX_OPENING: f64 = 2.0;
 
 #[derive(Debug, Default)]
 struct WindowSums {
@@ -83,20 +79,17 @@
         self.move_level(window.wait_ratio / samples, window.utilisation / samples);
     }
 
+    /// Raises the level while the wait exceeds its bound and lowers it otherwise, to where the histogram promises as
+    /// much work as the target can carry, less or more by the distance of the wait from its bound.
     fn move_level(&mut self, wait_ratio: f64, utilisation: f64) {
-        let admitted = self.histogram.rate_from(self.level);
-        if wait_ratio > 1.0 {
-            let drain = (DRAIN_GAIN * (wait_ratio - 1.0)).min(MAX_DRAIN);
-            let wanted = admitted.min(self.finish_rate) * (1.0 - drain);
-            self.level = self.level.max(self.histogram.level_for(wanted));
-        } else if self.level > RequestPriority::from_raw(0) {
-            let opening = if utilisation < FREE_UTILISATION {
-                (1.0 / utilisation.max(f64::MIN_POSITIVE)).min(MAX_OPENING)
-            } else {
-                1.0
-            };
-            let wanted = admitted.max(self.finish_rate) * opening.max(1.0 + GROWTH);
-            self.level = self.level.min(self.histogram.level_for(wanted));
-        }
+        let busy = utilisation.clamp(1.0 / MAX_OPENING, 1.0);
+        let correction = (WAIT_GAIN * (1.0 - wait_ratio)).max(-MAX_DRAIN);
+        let wanted = self.finish_rate / busy * (1.0 + correction);
+        let level = self.histogram.level_for(wanted);
+        self.level = if wait_ratio > 1.0 {
+            self.level.max(level)
+        } else {
+            self.level.min(level)
+        };
     }
 }
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -5,9 +5,23 @@
 //! slower on its own, fewer requests at a time only lose throughput. The limit tells them apart by a trial cut: the
 //! cut stays only if the service time, or the share of failures, falls with it.
 
+use std::time::Duration;
+
+use crate::types::TickTime;
+
 use super::cohort::{CohortResult, StartCohort};
 use super::work::WorkResult;
 
+/// Work that is measured between trials. With service times that vary by their own mean, the mean of fewer is too
+/// uncertain to compare two limits.
+const COHORT_SIZE: u32 = 128;
+/// Work that is measured in one round of a trial. It is short because a wrong trial loses throughput.
+const TRIAL_SIZE: u32 = 64;
+/// Rounds that must all confirm a cut, so that it is rarely kept by chance.
+const TRIAL_ROUNDS: u32 = 2;
+/// Longest trial, and longest cohort before one. A target that finishes too little work in this time cannot be
+/// measured while its state lasts, and keeps its limit.
+const MAX_TRIAL: Duration = Duration::from_secs(3);
 /// Factor of a trial cut. A smaller cut cannot be told from the noise of a cohort.
 const CUT: f64 = 0.6;
 /// Service time over its long-term mean that starts a trial cut.
@@ -32,6 +46,7 @@
 struct TrialCut {
     limit_before: f64,
     before: CohortResult,
+    rounds_left: u32,
 }
 
 /// Concurrency limit that follows measured service times and failures.
@@ -49,7 +64,7 @@
         Self {
             slots,
             limit: f64::from(slots),
-            cohort: StartCohort::default(),
+            cohort: StartCohort::new(COHORT_SIZE),
             baseline: None,
             trial: None,
         }
@@ -68,12 +83,12 @@
         self.slots = slots;
         self.limit = f64::from(slots) * share;
         self.trial = None;
-        self.cohort.restart();
+        self.cohort.restart(COHORT_SIZE);
     }
 
     /// Counts started work and returns the number of its cohort, if it belongs to one.
-    pub(super) fn start(&mut self, is_at_limit: bool) -> Option<u32> {
-        self.cohort.start(is_at_limit)
+    pub(super) fn start(&mut self, now: TickTime, is_at_limit: bool) -> Option<u32> {
+        self.cohort.start(now, is_at_limit)
     }
 
     /// Adds finished work with the logarithm of its service time over the long-term mean.
@@ -82,42 +97,62 @@
     }
 
     /// Adapts the limit once a cohort has finished under it.
-    pub(super) fn evaluate(&mut self) {
-        let Some(result) = self.cohort.take_result() else {
-            return;
-        };
-        match self.trial.take() {
-            Some(trial) => self.end_trial(trial, result),
-            None => self.follow(result),
+    pub(super) fn evaluate(&mut self, now: TickTime) {
+        let result = self.cohort.result(now);
+        match (self.trial.take(), result) {
+            (Some(trial), Some(result)) => self.judge_trial(trial, &result),
+            (Some(trial), None) if self.cohort.age(now) > MAX_TRIAL => self.revert(&trial),
+            (None, Some(result)) => self.follow(result),
+            (trial, None) => self.trial = trial,
         }
     }
 
-    fn end_trial(&mut self, trial: TrialCut, result: CohortResult) {
+    fn judge_trial(&mut self, trial: TrialCut, result: &CohortResult) {
         let full_effect = (trial.limit_before / self.limit).ln();
-        let is_faster = result.log_ratio < trial.before.log_ratio - CONFIRM_EFFECT * full_effect;
+        let is_faster = fall(trial.before.log_ratio, result.log_ratio)
+            .is_some_and(|fall| fall > CONFIRM_EFFECT * full_effect);
         let fails_less = trial.before.failure_share > FAILURE_RISE
             && result.failure_share < trial.before.failure_share * FAILURE_FALL;
         if !is_faster && !fails_less {
-            self.limit = trial.limit_before;
-            self.baseline = Some(trial.before);
+            self.revert(&trial);
+        } else if trial.rounds_left > 1 {
+            self.cohort.restart(TRIAL_SIZE);
+            self.trial = Some(TrialCut {
+                rounds_left: trial.rounds_left - 1,
+                ..trial
+            });
+        } else {
+            self.cohort.restart(COHORT_SIZE);
         }
     }
 
+    /// Undoes a cut without effect and accepts the measurement before it as the new baseline.
+    fn revert(&mut self, trial: &TrialCut) {
+        self.limit = trial.limit_before;
+        self.baseline = Some(trial.before);
+        self.cohort.restart(COHORT_SIZE);
+    }
+
     fn follow(&mut self, result: CohortResult) {
+        self.cohort.restart(COHORT_SIZE);
         let baseline = *self.baseline.get_or_insert(result);
-        let has_risen = result.log_ratio > baseline.log_ratio + TOLERANCE.ln()
-            || result.failure_share > baseline.failure_share + FAILURE_RISE;
+        let is_slower =
+            fall(result.log_ratio, baseline.log_ratio).is_some_and(|rise| rise > TOLERANCE.ln());
+        let has_risen = is_slower || result.failure_share > baseline.failure_share + FAILURE_RISE;
         let is_busy = result.busy_share > BUSY_SHARE;
-        if has_risen && is_busy {
+        if has_risen && is_busy && result.duration <= MAX_TRIAL {
             self.begin_trial(result);
             return;
         }
         self.baseline = Some(CohortResult {
-            log_ratio: follow_value(baseline.log_ratio, result.log_ratio),
+            log_ratio: match (baseline.log_ratio, result.log_ratio) {
+                (Some(baseline), Some(value)) => Some(follow_value(baseline, value)),
+                (baseline, value) => baseline.or(value),
+            },
             failure_share: follow_value(baseline.failure_share, result.failure_share),
             ..result
         });
-        if is_busy {
+        if is_busy && !has_risen {
             let grown = self.limit + (self.limit * GROWTH).max(1.0);
             self.limit = grown.min(f64::from(self.slots));
         }
@@ -132,11 +167,17 @@
         self.trial = Some(TrialCut {
             limit_before: self.limit,
             before,
+            rounds_left: TRIAL_ROUNDS,
         });
         self.limit = cut;
+        self.cohort.restart(TRIAL_SIZE);
     }
 }
 
+fn fall(before: Option<f64>, after: Option<f64>) -> Option<f64> {
+    Some(before? - after?)
+}
+
 fn follow_value(baseline: f64, value: f64) -> f64 {
     let weight = if value < baseline {
         FALL_WEIGHT
--- a/src/admission/settings.rs
+++ b/src/admission/settings.rs
@@ -5,17 +5,25 @@
 const DEFAULT_QUEUE_LIMIT: usize = 256;
 const DEFAULT_MAX_WAIT: Duration = Duration::from_millis(100);
 const DEFAULT_WAIT_BOUND: Duration = Duration::from_millis(20);
+const DEFAULT_WAIT_SHARE: f64 = 0.25;
+const DEFAULT_MAX_WAIT_SHARE: f64 = 0.5;
 const DEFAULT_LEVEL_PERIOD: Duration = Duration::from_millis(100);
 
 /// Settings of [`super::AdmissionControl`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AdmissionSettings {
     /// Work that may wait for a slot.
     pub queue_limit: usize,
     /// Expected wait above which the queue counts as full.
     pub max_wait: Duration,
+    /// Share of the service time by which `max_wait` is replaced if that is longer.
+    pub max_wait_share: f64,
     /// Queue wait above which the admission level rises.
     pub wait_bound: Duration,
+    /// Share of the service time by which `wait_bound` is replaced if that is longer. The arrivals during one
+    /// service time vary by more than a few milliseconds of wait; a shorter queue lets the slots of a slow target
+    /// idle under overload.
+    pub wait_share: f64,
     /// Time between changes of the admission level.
     pub level_period: Duration,
 }
@@ -25,7 +33,9 @@
         Self {
             queue_limit: DEFAULT_QUEUE_LIMIT,
             max_wait: DEFAULT_MAX_WAIT,
+            max_wait_share: DEFAULT_MAX_WAIT_SHARE,
             wait_bound: DEFAULT_WAIT_BOUND,
+            wait_share: DEFAULT_WAIT_SHARE,
             level_period: DEFAULT_LEVEL_PERIOD,
         }
     }
