Measure demand over a second and test shares against an oracle

The node now reports the rate over the last second, and the leader lets demand fall by time instead of by report.

ShareBucket::wants_heartbeat bounds early heartbeats to about one per second, so that a caller over its limit does not multiply the control traffic.

--- a/src/shares/bucket.rs
+++ b/src/shares/bucket.rs
@@ -10,6 +10,11 @@
 
 /// Regular time between heartbeats, after which a caller without tokens may try again.
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
+/// Early heartbeats that may follow each other; they refill at one per regular heartbeat, which
+/// at most doubles the control traffic of a node.
+const MAX_EARLY_HEARTBEATS: u32 = 4;
+/// Shortest time between an early heartbeat and the one before it.
+const MIN_HEARTBEAT_GAP: Duration = Duration::from_millis(50);
 
 /// Shares that this node holds, by caller.
 #[derive(Debug, Default)]
@@ -18,11 +23,14 @@
     applied_sent_at: Option<TickTime>,
     reported_at: Option<TickTime>,
     has_unmet_demand: bool,
+    early_heartbeats: u32,
+    early_refilled_at: TickTime,
 }
 
 #[derive(Debug, Default)]
 struct CallerBucket {
     offered: u32,
+    reported_per_s: f64,
     lease: Option<HeldLease>,
     deposits: Vec<HeldDeposit>,
 }
@@ -92,28 +100,48 @@
         };
         bucket.offered = bucket.offered.saturating_add(1);
         let result = bucket.take(now);
-        self.has_unmet_demand |= result.is_err();
+        self.has_unmet_demand |= result.is_err() && bucket.lease.is_none();
         result
     }
 
-    /// Returns whether a request found no token since the last report, so that an early heartbeat
-    /// is worthwhile.
-    pub fn has_unmet_demand(&self) -> bool {
-        self.has_unmet_demand
+    /// Returns whether an early heartbeat should be sent now, because a caller without a lease
+    /// found no token. Each call that returns true counts as one early heartbeat.
+    pub fn wants_heartbeat(&mut self, now: TickTime) -> bool {
+        let refills = (now - self.early_refilled_at).as_secs() as u32;
+        if refills > 0 {
+            self.early_refilled_at = now;
+            self.early_heartbeats = self.early_heartbeats.saturating_sub(refills);
+        }
+        let has_gap = self
+            .reported_at
+            .is_none_or(|at| now - at >= MIN_HEARTBEAT_GAP);
+        let is_due =
+            self.has_unmet_demand && has_gap && self.early_heartbeats < MAX_EARLY_HEARTBEATS;
+        self.early_heartbeats += u32::from(is_due);
+        is_due
+    }
+
+    /// Returns the rate of the unexpired lease for a caller, 0 for none.
+    pub fn held_rate(&self, now: TickTime, caller: &CallerName) -> u32 {
+        let bucket = self.callers.get(caller);
+        let lease = bucket.and_then(|bucket| bucket.lease.as_ref());
+        lease
+            .filter(|lease| lease.expires_at > now)
+            .map_or(0, |lease| lease.rate_per_s)
     }
 
     /// Reports the demand since the last call, for a heartbeat that is sent now.
     pub fn demands(&mut self, now: TickTime) -> Vec<RateDemand> {
         let elapsed = self.reported_at.map_or(HEARTBEAT_PERIOD, |at| now - at);
-        let seconds = elapsed.max(HEARTBEAT_PERIOD).as_secs_f64();
         self.reported_at = Some(now);
         self.has_unmet_demand = false;
         let mut demands = Vec::new();
         self.callers.retain(|caller, bucket| {
             bucket.drop_expired(now);
-            let is_active = bucket.offered > 0 || bucket.lease.is_some();
+            let is_active =
+                bucket.offered > 0 || bucket.lease.is_some() || bucket.reported_per_s >= 1.0;
             if is_active {
-                demands.push(bucket.report(now, caller, seconds));
+                demands.push(bucket.report(now, caller, elapsed));
             }
             is_active || !bucket.deposits.is_empty()
         });
@@ -168,16 +196,30 @@
         Err(lease.map_or(HEARTBEAT_PERIOD, HeldLease::time_to_token))
     }
 
-    fn report(&mut self, now: TickTime, caller: &CallerName, seconds: f64) -> RateDemand {
-        let offered = f64::from(std::mem::take(&mut self.offered));
+    fn report(&mut self, now: TickTime, caller: &CallerName, elapsed: Duration) -> RateDemand {
         let lease = self.lease.as_ref();
         RateDemand {
             caller: caller.clone(),
-            offered_per_s: (offered / seconds).ceil() as u32,
             held_per_s: lease.map_or(0, |lease| lease.rate_per_s),
             held_for: lease.map_or(Duration::ZERO, |lease| lease.expires_at - now),
+            offered_per_s: self.measure(elapsed),
         }
     }
+
+    /// Returns the requests per second, over at least the regular time between heartbeats.
+    fn measure(&mut self, elapsed: Duration) -> u32 {
+        let offered = f64::from(std::mem::take(&mut self.offered));
+        let seconds = elapsed.max(HEARTBEAT_PERIOD).as_secs_f64();
+        let earlier = HEARTBEAT_PERIOD.saturating_sub(elapsed).as_secs_f64();
+        self.reported_per_s = (offered + self.reported_per_s * earlier) / seconds;
+        // A single request must not be reported twice by an early and a regular heartbeat.
+        let rate = if offered > 0.0 {
+            self.reported_per_s.ceil()
+        } else {
+            self.reported_per_s.floor()
+        };
+        rate as u32
+    }
 }
 
 impl HeldLease {
--- a/src/shares/ledger/account.rs
+++ b/src/shares/ledger/account.rs
@@ -1,6 +1,7 @@
 //! Shares of one caller.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::types::{NodeId, TickTime};
 
@@ -9,8 +10,8 @@
 
 /// Factor by which a lease may exceed the measured demand, so that growth is not cut off.
 const DEMAND_HEADROOM: f64 = 1.25;
-/// Weight of the last report when demand falls; growth counts at once.
-const DEMAND_DECAY: f64 = 0.5;
+/// Time in which half of a fall in demand is believed; growth counts at once.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Offered rate at which a first report already earns a lease.
 const LEASE_AT_ONCE_PER_S: u32 = 3;
 /// Reports in a row that show demand before a slow caller gets a lease; a single request is
@@ -228,8 +229,9 @@
 
     fn note_demand(&mut self, now: TickTime, offered_per_s: u32) {
         let offered = f64::from(offered_per_s);
-        let decayed = self.wanted_per_s * (1.0 - DEMAND_DECAY) + offered * DEMAND_DECAY;
-        self.wanted_per_s = decayed.max(offered);
+        let age = now.saturating_since(self.seen_at).as_secs_f64();
+        let fade = (-age / DEMAND_HALF_LIFE.as_secs_f64()).exp2();
+        self.wanted_per_s = offered + (self.wanted_per_s - offered).max(0.0) * fade;
         self.reports = if offered_per_s == 0 {
             0
         } else {
--- /dev/null
+++ b/tests/shares.rs
@@ -0,0 +1,390 @@
+//! Shares of a caller's rate never exceed its limit, and reach the nodes that need them.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use ebonyjunction::generated::{CallerRow, PlanRow, PlanSet};
+use ebonyjunction::plans::PlanBook;
+use ebonyjunction::shares::{RateDemand, RateShare, SHARE_LEASE, ShareBucket, ShareLedger};
+use ebonyjunction::types::{CallerName, NodeId, TickTime};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+const NODES: usize = 4;
+
+fn caller_name() -> CallerName {
+    "reseller".try_into().unwrap()
+}
+
+fn node_id(index: usize) -> NodeId {
+    let mut bytes = [0_u8; 16];
+    bytes[..8].copy_from_slice(&index.to_be_bytes());
+    bytes.as_slice().try_into().unwrap()
+}
+
+fn book(rate_per_s: u32, burst: u32) -> PlanBook {
+    let plan = PlanRow {
+        name: "gold".into(),
+        rate_per_s,
+        burst,
+        attempts: 8,
+    };
+    let caller = CallerRow {
+        name: "reseller".into(),
+        plan: "gold".into(),
+        credential_sha256: vec![7; 32].into(),
+        service: String::new(),
+    };
+    let set = PlanSet {
+        version: 1,
+        plans: vec![plan],
+        callers: vec![caller],
+        grants: Vec::new(),
+    };
+    PlanBook::try_from(&set).unwrap()
+}
+
+fn take(bucket: &mut ShareBucket, now: TickTime, book: &PlanBook) -> Result<(), Duration> {
+    let caller = book.caller_named(&caller_name()).unwrap();
+    bucket.take(now, caller, book.plan_of(caller).unwrap())
+}
+
+/// A ledger and nodes without a network in between.
+struct ShareWorld {
+    now: TickTime,
+    book: PlanBook,
+    ledger: ShareLedger,
+    buckets: Vec<ShareBucket>,
+}
+
+impl ShareWorld {
+    fn new(nodes: usize, rate_per_s: u32, burst: u32) -> Self {
+        let start = TickTime::from_millis(0);
+        Self {
+            now: start + SHARE_LEASE,
+            book: book(rate_per_s, burst),
+            ledger: ShareLedger::new(start),
+            buckets: (0..nodes).map(|_| ShareBucket::new()).collect(),
+        }
+    }
+
+    fn heartbeat(&mut self, node: usize) -> Vec<RateShare> {
+        let demands = self.buckets[node].demands(self.now);
+        let shares = self
+            .ledger
+            .renew(self.now, node_id(node), &demands, &self.book);
+        self.buckets[node].update(self.now, self.now, &shares);
+        shares
+    }
+
+    /// Offers one request; a node without a token sends an early heartbeat and tries once more.
+    fn offer(&mut self, node: usize) -> bool {
+        if take(&mut self.buckets[node], self.now, &self.book).is_ok() {
+            return true;
+        }
+        if !self.buckets[node].wants_heartbeat(self.now) {
+            return false;
+        }
+        self.heartbeat(node);
+        take(&mut self.buckets[node], self.now, &self.book).is_ok()
+    }
+
+    fn advance(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+        self.ledger.expire(self.now);
+    }
+}
+
+// Guards against starving a slow caller: its rate cannot be split into whole requests per second
+// for hundreds of nodes, and each request arrives at another one.
+#[test]
+fn offer_one_per_second_over_580_nodes() {
+    let mut world = ShareWorld::new(580, 1, 3);
+    let mut served = 0;
+    for second in 0..200_usize {
+        served += usize::from(world.offer(second * 37 % 580));
+        world.advance(1_000);
+    }
+    assert!(served >= 190, "only {served} of 200 requests were served");
+}
+
+// Guards against a share that follows demand too late when all of it moves to another node.
+#[test]
+fn renew_moved_demand() {
+    let mut world = ShareWorld::new(2, 100, 100);
+    for _ in 0..100 {
+        world.offer(0);
+        world.advance(10);
+        world.heartbeat(0);
+    }
+    let mut served_late = 0;
+    for step in 0..1_000 {
+        let is_served = world.offer(1);
+        served_late += usize::from(is_served && step >= 500);
+        world.advance(10);
+        if step % 100 == 0 {
+            world.heartbeat(0);
+            world.heartbeat(1);
+        }
+    }
+    assert!(served_late >= 495, "{served_late} of 500 served after 5 s");
+}
+
+// Guards against a new leader that cuts off callers whose leases its predecessor gave.
+#[test]
+fn renew_after_leader_change() {
+    let mut world = ShareWorld::new(2, 100, 100);
+    for step in 0..600 {
+        if step == 200 {
+            world.ledger = ShareLedger::new(world.now);
+        }
+        let is_served = world.offer(0);
+        assert!(is_served || step < 200, "refused at step {step}");
+        world.advance(11);
+        if step % 90 == 0 {
+            world.heartbeat(0);
+        }
+    }
+}
+
+// Guards against a reply that overtook a newer one and brings back an old share.
+#[test]
+fn update_overtaken_reply() {
+    let mut bucket = ShareBucket::new();
+    let share = |rate_per_s| RateShare {
+        caller: caller_name(),
+        rate_per_s,
+        burst: 10,
+        valid_for: SHARE_LEASE,
+    };
+    let at = TickTime::from_millis;
+    bucket.update(at(100), at(120), &[share(5)]);
+    bucket.update(at(50), at(130), &[share(90)]);
+    assert_eq!(bucket.held_rate(at(140), &caller_name()), 5);
+    assert_eq!(bucket.held_rate(at(3_100), &caller_name()), 0);
+}
+
+/// Limits over time; the largest of the last lease time bounds the shares.
+#[derive(Debug, Clone)]
+struct LimitHistory {
+    now_ms: u64,
+    limits: VecDeque<(u64, u32, u32)>,
+}
+
+impl LimitHistory {
+    fn set(&mut self, rate_per_s: u32, burst: u32) {
+        self.limits.push_back((self.now_ms, rate_per_s, burst));
+    }
+
+    // A limit counts until one lease time after the one that replaced it.
+    fn bound(&self) -> (u32, u32) {
+        let lease_ms = SHARE_LEASE.as_millis() as u64;
+        let mut bound = (0, 0);
+        for (index, (_, rate_per_s, burst)) in self.limits.iter().enumerate() {
+            let replaced_ms = self.limits.get(index + 1).map(|next| next.0);
+            if replaced_ms.is_none_or(|at| at + lease_ms > self.now_ms) {
+                bound = (bound.0.max(*rate_per_s), bound.1.max(*burst));
+            }
+        }
+        bound
+    }
+}
+
+#[derive(Debug, Clone)]
+enum ShareStep {
+    Advance { millis: u64 },
+    Offer { node: usize, count: u32 },
+    SendHeartbeat { node: usize },
+    DeliverHeartbeat { position: usize },
+    DeliverReply { position: usize },
+    LoseHeartbeat { position: usize },
+    LoseReply { position: usize },
+    ChangeLeader,
+    EditPlan { rate_per_s: u32, burst: u32 },
+}
+
+impl ReferenceStateMachine for LimitHistory {
+    type State = Self;
+    type Transition = ShareStep;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        let start_ms = SHARE_LEASE.as_millis() as u64;
+        let limit = (1..200_u32, 1..200_u32);
+        limit
+            .prop_map(move |(rate_per_s, burst)| Self {
+                now_ms: start_ms,
+                limits: VecDeque::from([(0, rate_per_s, burst)]),
+            })
+            .boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<ShareStep> {
+        let node = 0..NODES;
+        let position = 0..8_usize;
+        prop_oneof![
+            6 => (1..700_u64).prop_map(|millis| ShareStep::Advance { millis }),
+            6 => (node.clone(), 1..60_u32)
+                .prop_map(|(node, count)| ShareStep::Offer { node, count }),
+            6 => node.prop_map(|node| ShareStep::SendHeartbeat { node }),
+            6 => position.clone().prop_map(|position| ShareStep::DeliverHeartbeat { position }),
+            6 => position.clone().prop_map(|position| ShareStep::DeliverReply { position }),
+            1 => position.clone().prop_map(|position| ShareStep::LoseHeartbeat { position }),
+            1 => position.prop_map(|position| ShareStep::LoseReply { position }),
+            1 => Just(ShareStep::ChangeLeader),
+            1 => (1..200_u32, 1..200_u32)
+                .prop_map(|(rate_per_s, burst)| ShareStep::EditPlan { rate_per_s, burst }),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Self, step: &ShareStep) -> Self {
+        match *step {
+            ShareStep::Advance { millis } => state.now_ms += millis,
+            ShareStep::EditPlan { rate_per_s, burst } => state.set(rate_per_s, burst),
+            _ => {}
+        }
+        state
+    }
+}
+
+#[derive(Debug)]
+struct HeartbeatInFlight {
+    node: usize,
+    sent_at: TickTime,
+    demands: Vec<RateDemand>,
+}
+
+#[derive(Debug)]
+struct ReplyInFlight {
+    node: usize,
+    sent_at: TickTime,
+    shares: Vec<RateShare>,
+}
+
+/// Nodes and leader with a network that delays, reorders and loses messages, and a token bucket
+/// for the whole mesh as the oracle.
+struct SharesUnderTest {
+    world: ShareWorld,
+    heartbeats: VecDeque<HeartbeatInFlight>,
+    replies: VecDeque<ReplyInFlight>,
+    oracle_tokens: f64,
+    bound: (u32, u32),
+}
+
+impl SharesUnderTest {
+    fn advance(&mut self, millis: u64) {
+        let (rate_per_s, burst) = self.bound;
+        let income = f64::from(rate_per_s) * millis as f64 / 1e3;
+        self.oracle_tokens = (self.oracle_tokens + income).min(f64::from(burst));
+        self.world.advance(millis);
+    }
+
+    fn offer(&mut self, node: usize, count: u32) {
+        let world = &mut self.world;
+        for _ in 0..count {
+            if take(&mut world.buckets[node], world.now, &world.book).is_ok() {
+                self.oracle_tokens -= 1.0;
+            }
+        }
+    }
+
+    fn send(&mut self, node: usize) {
+        let sent_at = self.world.now;
+        let demands = self.world.buckets[node].demands(sent_at);
+        self.heartbeats.push_back(HeartbeatInFlight {
+            node,
+            sent_at,
+            demands,
+        });
+    }
+
+    fn deliver_heartbeat(&mut self, position: usize) {
+        let Some(heartbeat) = self.heartbeats.remove(position) else {
+            return;
+        };
+        let world = &mut self.world;
+        let id = node_id(heartbeat.node);
+        let shares = world
+            .ledger
+            .renew(world.now, id, &heartbeat.demands, &world.book);
+        self.replies.push_back(ReplyInFlight {
+            node: heartbeat.node,
+            sent_at: heartbeat.sent_at,
+            shares,
+        });
+    }
+
+    fn deliver_reply(&mut self, position: usize) {
+        if let Some(reply) = self.replies.remove(position) {
+            let now = self.world.now;
+            let bucket = &mut self.world.buckets[reply.node];
+            bucket.update(reply.sent_at, now, &reply.shares);
+        }
+    }
+}
+
+struct SharesTest;
+
+impl StateMachineTest for SharesTest {
+    type SystemUnderTest = SharesUnderTest;
+    type Reference = LimitHistory;
+
+    fn init_test(history: &LimitHistory) -> SharesUnderTest {
+        let (rate_per_s, burst) = history.bound();
+        SharesUnderTest {
+            world: ShareWorld::new(NODES, rate_per_s, burst),
+            heartbeats: VecDeque::new(),
+            replies: VecDeque::new(),
+            oracle_tokens: f64::from(burst),
+            bound: (rate_per_s, burst),
+        }
+    }
+
+    fn apply(
+        mut state: SharesUnderTest,
+        history: &LimitHistory,
+        step: ShareStep,
+    ) -> SharesUnderTest {
+        match step {
+            ShareStep::Advance { millis } => state.advance(millis),
+            ShareStep::Offer { node, count } => state.offer(node, count),
+            ShareStep::SendHeartbeat { node } => state.send(node),
+            ShareStep::DeliverHeartbeat { position } => state.deliver_heartbeat(position),
+            ShareStep::DeliverReply { position } => state.deliver_reply(position),
+            ShareStep::LoseHeartbeat { position } => drop(state.heartbeats.remove(position)),
+            ShareStep::LoseReply { position } => drop(state.replies.remove(position)),
+            ShareStep::ChangeLeader => state.world.ledger = ShareLedger::new(state.world.now),
+            ShareStep::EditPlan { rate_per_s, burst } => state.world.book = book(rate_per_s, burst),
+        }
+        state.bound = history.bound();
+        state
+    }
+
+    fn check_invariants(state: &SharesUnderTest, history: &LimitHistory) {
+        let (rate_per_s, _) = history.bound();
+        let now = state.world.now;
+        let buckets = state.world.buckets.iter();
+        let held = buckets.map(|bucket| bucket.held_rate(now, &caller_name()));
+        let held = held.sum::<u32>();
+        assert!(held <= rate_per_s, "held {held} of {rate_per_s}");
+        assert!(
+            state.oracle_tokens >= -1e-6,
+            "over-admission of {} requests",
+            -state.oracle_tokens
+        );
+    }
+}
+
+// Guards against shares that add up to more than the limit when messages are late, lost or out of
+// order, leaders change and plans are edited.
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+    #[test]
+    fn renew_random_faults(sequential 1..200 => SharesTest);
+}
