Add the replica core and a simulation of its faults

The control servers need a log that survives lost messages, disks and leaders. The core is pure; a single-threaded simulation drives 3 and 5 replicas through loss, duplication, reordering, partitions, crashes, wiped disks and clock drift and checks it against an oracle.

--- /dev/null
+++ b/src/consensus/commit.rs
@@ -0,0 +1,96 @@
+//! Proposals and committed entries.
+
+use super::membership_history::quorum_size;
+use super::{ReplicaAction, ReplicaCore};
+use crate::error::Result;
+use crate::generated::command::Change;
+use crate::generated::{Command, LogEntry};
+
+impl ReplicaCore {
+    /// Appends a proposal on the leader; drops it elsewhere.
+    pub(super) fn propose(&mut self, token: u64, command: Command) -> Result<()> {
+        let has_room = self
+            .leading
+            .as_ref()
+            .is_some_and(|leading| leading.tokens.len() < self.settings.max_pending_proposals);
+        let is_membership = matches!(command.change, Some(Change::Membership(_)));
+        if !has_room || is_membership || command.change.is_none() {
+            self.push_action(ReplicaAction::Drop { token });
+            return Ok(());
+        }
+        let index = self.append_own(command)?;
+        if let Some(leading) = &mut self.leading {
+            leading.tokens.insert(index, token);
+        }
+        Ok(())
+    }
+
+    /// Appends an entry of the current term; it is sent with the next flush.
+    pub(super) fn append_own(&mut self, command: Command) -> Result<u64> {
+        let entry = LogEntry {
+            index: self.store.last_index() + 1,
+            term: self.term(),
+            command: Some(command),
+        };
+        let index = entry.index;
+        self.store.append(std::slice::from_ref(&entry))?;
+        if self.members.note_entry(&entry) {
+            self.refresh_peers();
+        }
+        Ok(index)
+    }
+
+    /// Commits what a quorum of voters holds on disk, if it ends with an entry of the current term.
+    pub(super) fn advance_commit(&mut self) {
+        let Some(leading) = &self.leading else {
+            return;
+        };
+        let membership = self.members.current();
+        let mut held: Vec<u64> = membership
+            .voters
+            .iter()
+            .map(|voter| {
+                if voter.disk_id == self.own.disk_id {
+                    self.synced_index
+                } else {
+                    leading.match_index(&voter.disk_id)
+                }
+            })
+            .collect();
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(&index) = held.get(quorum_size(membership) - 1) else {
+            return;
+        };
+        let is_own_term = self.store.term_at(index) == Some(self.term());
+        if index > self.commit_index && is_own_term {
+            self.commit_index = index;
+        }
+    }
+
+    /// Passes on committed entries that are on the own disk, and asks for a snapshot when it is due.
+    pub(super) fn emit_commits(&mut self) {
+        let last = self.commit_index.min(self.synced_index);
+        while self.applied_index < last {
+            let Some(entry) = self.store.entry(self.applied_index + 1) else {
+                return;
+            };
+            self.applied_index = entry.index;
+            let token = self
+                .leading
+                .as_mut()
+                .and_then(|leading| leading.tokens.remove(&entry.index));
+            self.push_action(ReplicaAction::Commit {
+                index: entry.index,
+                term: entry.term,
+                command: entry.command.unwrap_or_default(),
+                token,
+            });
+        }
+        if self.applied_index >= self.wanted_snapshot + self.settings.snapshot_entries {
+            self.wanted_snapshot = self.applied_index;
+            self.push_action(ReplicaAction::WantSnapshot {
+                up_to: self.applied_index,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/consensus/core.rs
@@ -0,0 +1,295 @@
+//! State of one replica and the dispatch of its events.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::join::JoinState;
+use super::leader::LeaderState;
+use super::membership_history::MembershipHistory;
+use super::replication::HeldReply;
+use super::snapshot_transfer::IncomingSnapshot;
+use super::{PeerMessage, ReplicaAction, ReplicaEvent, ReplicaRole, ReplicaSettings};
+use crate::error::Result;
+use crate::generated::{Membership, ReplicaInfo};
+use crate::storage::{HardState, LogStore};
+use crate::types::TickTime;
+
+/// One replica of the replicated log.
+///
+/// After an error the core and its store must be dropped; the replica starts again from its disk.
+#[derive(Debug)]
+pub struct ReplicaCore {
+    pub(super) settings: ReplicaSettings,
+    pub(super) own: ReplicaInfo,
+    pub(super) store: Box<dyn LogStore>,
+    rng: SmallRng,
+    pub(super) role: ReplicaRole,
+    reported_role: Option<(ReplicaRole, u64)>,
+    pub(super) leader_id: Option<u64>,
+    pub(super) commit_index: u64,
+    pub(super) applied_index: u64,
+    /// Entries up to this index are on disk.
+    pub(super) synced_index: u64,
+    /// Index of the last snapshot that was asked for.
+    pub(super) wanted_snapshot: u64,
+    pub(super) members: MembershipHistory,
+    pub(super) join: JoinState,
+    pub(super) election_deadline: TickTime,
+    /// Last message of the current leader; the start counts as one, because the replica may have
+    /// confirmed a leader just before it stopped.
+    pub(super) leader_contact: Option<TickTime>,
+    pub(super) ballot: BTreeSet<u64>,
+    pub(super) leading: Option<LeaderState>,
+    pub(super) held_replies: Vec<HeldReply>,
+    pub(super) incoming: Option<IncomingSnapshot>,
+    actions: Vec<ReplicaAction>,
+}
+
+impl ReplicaCore {
+    /// Creates a replica over its store.
+    ///
+    /// `membership` lists the initial replicas from the settings, as voters; their disk identities
+    /// may be empty. It is used to find the others, and with `bootstrap` to create the first
+    /// configuration. The first step returns a stored snapshot as [`ReplicaAction::Restore`].
+    pub fn new(
+        settings: ReplicaSettings,
+        own: ReplicaInfo,
+        store: Box<dyn LogStore>,
+        membership: Membership,
+        now: TickTime,
+        seed: u64,
+    ) -> Result<Self> {
+        let members = MembershipHistory::load(store.as_ref())?;
+        let disk_id = bytes::Bytes::copy_from_slice(&store.disk_id());
+        let covered = store.snapshot();
+        let covered_index = covered.as_ref().map_or(0, |(meta, _)| meta.last_index);
+        let restore = covered.map(|(meta, data)| ReplicaAction::Restore { meta, data });
+        let mut core = Self {
+            settings,
+            own: ReplicaInfo { disk_id, ..own },
+            synced_index: store.last_index(),
+            store,
+            rng: SmallRng::seed_from_u64(seed),
+            role: ReplicaRole::Learner,
+            reported_role: None,
+            leader_id: None,
+            commit_index: covered_index,
+            applied_index: covered_index,
+            wanted_snapshot: covered_index,
+            members,
+            join: JoinState::new(membership, now),
+            election_deadline: now,
+            leader_contact: Some(now),
+            ballot: BTreeSet::new(),
+            leading: None,
+            held_replies: Vec::new(),
+            incoming: None,
+            actions: restore.into_iter().collect(),
+        };
+        core.refresh_role();
+        core.reset_election_deadline(now);
+        Ok(core)
+    }
+
+    /// Handles one event and returns what to do.
+    ///
+    /// Answers that depend on entries that are not on disk yet wait for [`ReplicaCore::flush`].
+    pub fn step(&mut self, now: TickTime, event: ReplicaEvent) -> Result<Vec<ReplicaAction>> {
+        match event {
+            ReplicaEvent::Tick => self.tick(now)?,
+            ReplicaEvent::Message { from, message } => self.receive(now, from, message)?,
+            ReplicaEvent::Propose { token, command } => self.propose(token, command)?,
+            ReplicaEvent::SnapshotReady { meta, data } => self.store_snapshot(meta, data)?,
+        }
+        Ok(self.take_actions())
+    }
+
+    /// Syncs the entries of all steps since the last call, and returns what waited for it.
+    pub fn flush(&mut self, now: TickTime) -> Result<Vec<ReplicaAction>> {
+        self.sync_log()?;
+        self.release_held_replies();
+        if self.leading.is_some() {
+            self.advance_commit();
+            self.send_entries(now);
+        }
+        Ok(self.take_actions())
+    }
+
+    /// Returns the role in the current term.
+    pub fn role(&self) -> ReplicaRole {
+        self.role
+    }
+
+    /// Returns the current term.
+    pub fn term(&self) -> u64 {
+        self.store.hard_state().term
+    }
+
+    /// Returns the leader of the current term, if it is known.
+    pub fn leader(&self) -> Option<ReplicaInfo> {
+        self.leader_id.map(|id| self.replica_info(id))
+    }
+
+    /// Returns the membership in effect, which may not be committed yet.
+    pub fn membership(&self) -> &Membership {
+        self.members.current()
+    }
+
+    /// Returns the index up to which entries are known to be committed.
+    pub fn commit_index(&self) -> u64 {
+        self.commit_index
+    }
+
+    /// Returns own identity with the identity of the disk.
+    pub fn own(&self) -> &ReplicaInfo {
+        &self.own
+    }
+
+    /// Returns the age of the last moment at which a quorum confirmed this leader.
+    ///
+    /// A confirmation counts from the time the answered append was sent. While the age is below the
+    /// shortest election timeout, no other leader can have been elected. There is no age before the
+    /// leader has committed an entry of its own term, since it may not know all committed entries.
+    pub fn quorum_age(&self, now: TickTime) -> Option<Duration> {
+        let leading = self.leading.as_ref()?;
+        if leading.term_start > self.commit_index {
+            return None;
+        }
+        let confirmed_at = leading.quorum_confirmed_at(&self.own, self.membership(), now)?;
+        Some(now.saturating_since(confirmed_at))
+    }
+
+    fn receive(&mut self, now: TickTime, from: u64, message: PeerMessage) -> Result<()> {
+        match message {
+            PeerMessage::Vote(request) => self.on_vote(now, from, &request),
+            PeerMessage::VoteReply(reply, is_pre_vote) => {
+                self.on_vote_reply(now, from, reply, is_pre_vote)
+            }
+            PeerMessage::Append(request) => self.on_append(now, &request),
+            PeerMessage::AppendReply(reply) => self.on_append_reply(now, &reply),
+            PeerMessage::Snapshot(chunk) => self.on_snapshot_chunk(now, &chunk),
+            PeerMessage::SnapshotReply(reply) => self.on_snapshot_reply(now, &reply),
+            PeerMessage::Join(request) => self.on_join(now, request),
+            PeerMessage::JoinReply(reply) => {
+                self.on_join_reply(now, from, reply);
+                Ok(())
+            }
+        }
+    }
+
+    fn tick(&mut self, now: TickTime) -> Result<()> {
+        self.tick_join(now)?;
+        if self.leading.is_some() {
+            return self.tick_leader(now);
+        }
+        if now >= self.election_deadline && self.can_campaign() {
+            return self.start_pre_vote(now);
+        }
+        Ok(())
+    }
+
+    /// Makes appended entries durable.
+    pub(super) fn sync_log(&mut self) -> Result<()> {
+        let last_index = self.store.last_index();
+        if self.synced_index < last_index {
+            self.store.sync()?;
+            self.synced_index = last_index;
+        }
+        Ok(())
+    }
+
+    /// Returns whether the own disk belongs to a voter in the membership in effect.
+    pub(super) fn is_voter(&self) -> bool {
+        let voters = &self.members.current().voters;
+        voters.iter().any(|info| info.disk_id == self.own.disk_id)
+    }
+
+    /// Returns whether the replica may ask for votes; it needs the first configuration on disk.
+    fn can_campaign(&self) -> bool {
+        self.is_voter() && self.store.last_index() > 0
+    }
+
+    /// Adjusts the role of a replica that does not take part in an election.
+    pub(super) fn refresh_role(&mut self) {
+        let is_passive = matches!(self.role, ReplicaRole::Learner | ReplicaRole::Follower);
+        if is_passive {
+            self.role = self.passive_role();
+        }
+    }
+
+    pub(super) fn passive_role(&self) -> ReplicaRole {
+        if self.is_voter() {
+            ReplicaRole::Follower
+        } else {
+            ReplicaRole::Learner
+        }
+    }
+
+    pub(super) fn reset_election_deadline(&mut self, now: TickTime) {
+        let shortest = self.settings.election_timeout_min;
+        let longest = self.settings.election_timeout_max.max(shortest);
+        self.election_deadline = now + self.rng.random_range(shortest..=longest);
+    }
+
+    /// Gives up any candidacy or leadership and moves to a term, which is synced first.
+    pub(super) fn become_follower(&mut self, now: TickTime, term: u64) -> Result<()> {
+        if term > self.term() {
+            self.store.set_hard_state(HardState { term, vote: None })?;
+            self.leader_id = None;
+            self.held_replies.clear();
+            self.incoming = None;
+        }
+        if let Some(leading) = self.leading.take() {
+            self.leader_id = None;
+            self.leader_contact = None;
+            let tokens = leading.tokens.into_values();
+            self.actions
+                .extend(tokens.map(|token| ReplicaAction::Drop { token }));
+            self.reset_election_deadline(now);
+        }
+        self.ballot.clear();
+        self.role = self.passive_role();
+        Ok(())
+    }
+
+    /// Returns what is known about a replica; the address is empty if it is unknown.
+    pub(super) fn replica_info(&self, replica_id: u64) -> ReplicaInfo {
+        let membership = self.members.current();
+        let mut known = membership
+            .learners
+            .iter()
+            .chain(&membership.voters)
+            .chain(self.join.contacts());
+        known
+            .find(|info| info.replica_id == replica_id)
+            .cloned()
+            .unwrap_or_else(|| ReplicaInfo {
+                replica_id,
+                ..ReplicaInfo::default()
+            })
+    }
+
+    pub(super) fn push_action(&mut self, action: ReplicaAction) {
+        self.actions.push(action);
+    }
+
+    pub(super) fn send(&mut self, to: ReplicaInfo, message: PeerMessage) {
+        self.actions.push(ReplicaAction::Send { to, message });
+    }
+
+    fn take_actions(&mut self) -> Vec<ReplicaAction> {
+        self.emit_commits();
+        let reported = (self.role, self.term());
+        if self.reported_role != Some(reported) {
+            self.reported_role = Some(reported);
+            self.actions.push(ReplicaAction::RoleChanged {
+                role: reported.0,
+                term: reported.1,
+            });
+        }
+        std::mem::take(&mut self.actions)
+    }
+}
--- /dev/null
+++ b/src/consensus/join.rs
@@ -0,0 +1,319 @@
+//! Creation of the first configuration, joining, and promotion of learners.
+
+use std::collections::BTreeMap;
+
+use super::{PeerMessage, ReplicaCore};
+use crate::error::Result;
+use crate::generated::command::Change;
+use crate::generated::{Command, JoinReply, JoinRequest, LogEntry, Membership, ReplicaInfo};
+use crate::storage::{DISK_ID_LENGTH, HardState};
+use crate::types::TickTime;
+
+/// Term of the entry that holds the first configuration; no leader is ever elected in it.
+const FOUNDING_TERM: u64 = 1;
+
+/// What a replica without a place in the membership knows about the others.
+#[derive(Debug)]
+pub(super) struct JoinState {
+    /// Replicas of the settings, by identity.
+    initial: BTreeMap<u64, ReplicaInfo>,
+    /// Members named by replicas that hold a log.
+    known: Vec<ReplicaInfo>,
+    next_request: TickTime,
+    /// Replicas with an empty log that asked to join.
+    asked: BTreeMap<u64, (ReplicaInfo, TickTime)>,
+    /// Replicas that answered that they hold no log.
+    empty: BTreeMap<u64, TickTime>,
+    /// Another replica holds a log, so no first configuration may be created.
+    is_founded: bool,
+}
+
+impl JoinState {
+    pub(super) fn new(initial: Membership, now: TickTime) -> Self {
+        Self {
+            initial: initial
+                .voters
+                .into_iter()
+                .map(|info| (info.replica_id, info))
+                .collect(),
+            known: Vec::new(),
+            next_request: now,
+            asked: BTreeMap::new(),
+            empty: BTreeMap::new(),
+            is_founded: false,
+        }
+    }
+
+    pub(super) fn contacts(&self) -> impl Iterator<Item = &ReplicaInfo> {
+        self.known.iter().chain(self.initial.values())
+    }
+}
+
+impl ReplicaCore {
+    /// Asks to join while the replica has no place in the membership.
+    pub(super) fn tick_join(&mut self, now: TickTime) -> Result<()> {
+        if self.is_settled() || now < self.join.next_request {
+            return Ok(());
+        }
+        self.join.next_request = now + self.settings.join_interval;
+        let request = JoinRequest {
+            replica: Some(self.own.clone()),
+        };
+        for to in self.join_receivers() {
+            self.send(to, PeerMessage::Join(request.clone()));
+        }
+        self.found_cluster(now)
+    }
+
+    /// Returns whether the log is not empty and lists the replica under its disk and address.
+    fn is_settled(&self) -> bool {
+        let membership = self.members.current();
+        let mut members = membership.voters.iter().chain(&membership.learners);
+        self.store.last_index() > 0 && members.any(|info| *info == self.own)
+    }
+
+    fn join_receivers(&self) -> Vec<ReplicaInfo> {
+        let membership = self.members.current();
+        let mut receivers: BTreeMap<&str, &ReplicaInfo> = BTreeMap::new();
+        let members = membership.voters.iter().chain(&membership.learners);
+        for info in members.chain(self.join.contacts()) {
+            if info.replica_id != self.own.replica_id {
+                receivers.entry(&info.address).or_insert(info);
+            }
+        }
+        receivers.into_values().cloned().collect()
+    }
+
+    /// Answers a replica that asks to join; the leader adds it as a learner.
+    pub(super) fn on_join(&mut self, now: TickTime, request: JoinRequest) -> Result<()> {
+        let Some(replica) = request.replica else {
+            return Ok(());
+        };
+        if replica.disk_id.len() != DISK_ID_LENGTH || replica.disk_id == self.own.disk_id {
+            return Ok(());
+        }
+        let is_empty = self.store.last_index() == 0;
+        let verdict = if is_empty {
+            let asked = (replica.clone(), now);
+            self.join.asked.insert(replica.replica_id, asked);
+            Err("this replica holds no log".to_owned())
+        } else {
+            self.admit_learner(&replica)?
+        };
+        let reply = JoinReply {
+            accepted: verdict.is_ok(),
+            membership: (!is_empty).then(|| self.members.current().clone()),
+            reason: verdict.err().unwrap_or_default(),
+            disk_id: replica.disk_id.clone(),
+        };
+        self.send(replica, PeerMessage::JoinReply(reply));
+        if is_empty {
+            self.found_cluster(now)?;
+        }
+        Ok(())
+    }
+
+    /// Logs a membership with the replica in it; the inner error is the reason for a refusal.
+    fn admit_learner(&mut self, replica: &ReplicaInfo) -> Result<Result<(), String>> {
+        let membership = self.members.current();
+        let mut members = membership.voters.iter().chain(&membership.learners);
+        if members.any(|info| info == replica) {
+            return Ok(Ok(()));
+        }
+        if self.leading.is_none() {
+            return Ok(Err("this replica is not the leader".to_owned()));
+        }
+        if replica.replica_id == self.own.replica_id {
+            return Ok(Err("the leader uses this replica id".to_owned()));
+        }
+        if !self.can_change_membership() {
+            return Ok(Err("another membership change is in progress".to_owned()));
+        }
+        let Some(changed) = with_learner(membership, replica, self.settings.max_voters) else {
+            return Ok(Err("there are enough replicas".to_owned()));
+        };
+        self.append_membership(changed)?;
+        Ok(Ok(()))
+    }
+
+    /// Returns whether the last change is committed, and an entry of the own term too.
+    ///
+    /// Without the latter, two leaders could commit changes that do not know of each other.
+    fn can_change_membership(&self) -> bool {
+        let is_term_committed = self
+            .leading
+            .as_ref()
+            .is_some_and(|leading| leading.term_start <= self.commit_index);
+        is_term_committed && self.members.current_index() <= self.commit_index
+    }
+
+    fn append_membership(&mut self, membership: Membership) -> Result<()> {
+        self.append_own(Command {
+            change: Some(Change::Membership(membership)),
+        })?;
+        Ok(())
+    }
+
+    /// Makes a learner a voter once it holds every committed entry on disk.
+    ///
+    /// What was committed while its last answer was on the way is not waited for; otherwise a steady
+    /// load could delay the promotion forever. It can vote and count towards a quorum only after
+    /// those entries, since they precede the promotion in the log.
+    pub(super) fn promote_learner(&mut self, now: TickTime) -> Result<()> {
+        if !self.can_change_membership() {
+            return Ok(());
+        }
+        let Some(leading) = &self.leading else {
+            return Ok(());
+        };
+        let membership = self.members.current();
+        let is_ready = |learner: &&ReplicaInfo| {
+            let peer = leading.peers.get(&learner.disk_id);
+            peer.is_some_and(|peer| peer.is_caught_up && self.is_answering(now, peer))
+        };
+        let Some(learner) = membership.learners.iter().find(is_ready) else {
+            return Ok(());
+        };
+        let promoted = with_promoted(membership, learner);
+        self.append_membership(promoted)
+    }
+
+    /// Uses another replica's answer: a cluster exists, or that replica holds no log either.
+    pub(super) fn on_join_reply(&mut self, now: TickTime, from: u64, reply: JoinReply) {
+        if reply.disk_id != self.own.disk_id {
+            return;
+        }
+        let Some(membership) = reply.membership else {
+            self.join.empty.insert(from, now);
+            return;
+        };
+        self.join.is_founded = true;
+        let is_listed = membership
+            .voters
+            .iter()
+            .any(|info| info.disk_id == self.own.disk_id);
+        let members = membership.voters.iter().chain(&membership.learners);
+        self.join.known = members.cloned().collect();
+        // Only an initial replica can be a voter with an empty log: a learner is promoted after it
+        // has confirmed entries on disk. It may vote, since its disk never confirmed anything else.
+        if is_listed && self.store.last_index() == 0 {
+            self.members.set_base(membership);
+            self.refresh_role();
+        }
+    }
+
+    /// Writes the first configuration if all initial replicas are present and hold no log.
+    ///
+    /// Only the replica with the lowest identity does so. The others get it from the log, so that
+    /// they never hold different first configurations.
+    fn found_cluster(&mut self, now: TickTime) -> Result<()> {
+        let is_first = self.join.initial.keys().next() == Some(&self.own.replica_id);
+        let is_allowed = self.settings.bootstrap && is_first && !self.join.is_founded;
+        if !is_allowed || self.store.last_index() > 0 {
+            return Ok(());
+        }
+        let Some(voters) = self.founding_voters(now) else {
+            return Ok(());
+        };
+        let state = self.store.hard_state();
+        let term = state.term.max(FOUNDING_TERM);
+        self.store.set_hard_state(HardState { term, ..state })?;
+        let membership = Membership {
+            voters,
+            learners: Vec::new(),
+        };
+        let entry = LogEntry {
+            index: 1,
+            term: FOUNDING_TERM,
+            command: Some(Command {
+                change: Some(Change::Membership(membership.clone())),
+            }),
+        };
+        self.store.append(std::slice::from_ref(&entry))?;
+        self.sync_log()?;
+        self.members.note_entry(&entry);
+        self.refresh_role();
+        self.announce_founding(&membership);
+        Ok(())
+    }
+
+    /// Returns the initial replicas with their disks if each one answered within the window.
+    fn founding_voters(&self, now: TickTime) -> Option<Vec<ReplicaInfo>> {
+        let window = self.settings.founding_window;
+        let is_recent = |at: TickTime| now.saturating_since(at) <= window;
+        let mut voters = Vec::new();
+        for &id in self.join.initial.keys() {
+            if id == self.own.replica_id {
+                voters.push(self.own.clone());
+                continue;
+            }
+            let (info, asked_at) = self.join.asked.get(&id)?;
+            let answered_at = *self.join.empty.get(&id)?;
+            if !is_recent(*asked_at) || !is_recent(answered_at) {
+                return None;
+            }
+            voters.push(info.clone());
+        }
+        Some(voters)
+    }
+
+    fn announce_founding(&mut self, membership: &Membership) {
+        for voter in &membership.voters {
+            if voter.disk_id == self.own.disk_id {
+                continue;
+            }
+            let reply = JoinReply {
+                accepted: true,
+                membership: Some(membership.clone()),
+                reason: String::new(),
+                disk_id: voter.disk_id.clone(),
+            };
+            self.send(voter.clone(), PeerMessage::JoinReply(reply));
+        }
+    }
+}
+
+/// Returns the membership with a replica under its current disk and address.
+///
+/// A member with the same disk only gets the new address. Otherwise the replica becomes a learner,
+/// and replaces a learner with the same identity and another disk.
+fn with_learner(
+    membership: &Membership,
+    replica: &ReplicaInfo,
+    max_voters: usize,
+) -> Option<Membership> {
+    let mut changed = membership.clone();
+    let mut members = changed.voters.iter_mut().chain(&mut changed.learners);
+    if let Some(info) = members.find(|info| info.disk_id == replica.disk_id) {
+        info.address.clone_from(&replica.address);
+        return Some(changed);
+    }
+    changed
+        .learners
+        .retain(|info| info.replica_id != replica.replica_id);
+    changed.learners.push(replica.clone());
+    (expected_voters(&changed) <= max_voters).then_some(changed)
+}
+
+/// Returns the number of voters once all learners are promoted.
+fn expected_voters(membership: &Membership) -> usize {
+    let is_new = |learner: &&ReplicaInfo| {
+        let mut voters = membership.voters.iter();
+        !voters.any(|voter| voter.replica_id == learner.replica_id)
+    };
+    membership.voters.len() + membership.learners.iter().filter(is_new).count()
+}
+
+/// Returns the membership with a learner as voter, in place of the record of its former disk.
+fn with_promoted(membership: &Membership, learner: &ReplicaInfo) -> Membership {
+    let mut promoted = membership.clone();
+    promoted
+        .learners
+        .retain(|info| info.replica_id != learner.replica_id);
+    promoted
+        .voters
+        .retain(|info| info.replica_id != learner.replica_id);
+    promoted.voters.push(learner.clone());
+    promoted.voters.sort_by_key(|info| info.replica_id);
+    promoted
+}
--- /dev/null
+++ b/src/consensus/leader.rs
@@ -0,0 +1,248 @@
+//! Replication by the leader.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+use super::membership_history::{quorum_size, reachable_others};
+use super::peer_progress::PeerProgress;
+use super::{PeerMessage, ReplicaCore};
+use crate::error::Result;
+use crate::generated::{AppendReply, AppendRequest, Membership, ReplicaInfo};
+use crate::types::TickTime;
+
+/// State of a leader in its term.
+#[derive(Debug)]
+pub(super) struct LeaderState {
+    /// Index of the first entry of the term.
+    pub(super) term_start: u64,
+    pub(super) elected_at: TickTime,
+    pub(super) next_heartbeat: TickTime,
+    pub(super) sequence: u64,
+    /// Own proposals by index.
+    pub(super) tokens: BTreeMap<u64, u64>,
+    /// Other replicas by disk identity, so that an answer of a replaced disk is never counted.
+    pub(super) peers: BTreeMap<Bytes, PeerProgress>,
+}
+
+impl LeaderState {
+    pub(super) fn new(term_start: u64, now: TickTime) -> Self {
+        Self {
+            term_start,
+            elected_at: now,
+            next_heartbeat: now,
+            sequence: 0,
+            tokens: BTreeMap::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn match_index(&self, disk_id: &Bytes) -> u64 {
+        self.peers.get(disk_id).map_or(0, |peer| peer.match_index)
+    }
+
+    pub(super) fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Returns the latest time as of which a quorum of voters had confirmed the leader.
+    pub(super) fn quorum_confirmed_at(
+        &self,
+        own: &ReplicaInfo,
+        membership: &Membership,
+        now: TickTime,
+    ) -> Option<TickTime> {
+        let mut confirmed: Vec<TickTime> = membership
+            .voters
+            .iter()
+            .filter_map(|voter| {
+                if voter.disk_id == own.disk_id {
+                    return Some(now);
+                }
+                self.peers.get(&voter.disk_id)?.confirmed_at
+            })
+            .collect();
+        confirmed.sort_unstable_by(|a, b| b.cmp(a));
+        confirmed.get(quorum_size(membership) - 1).copied()
+    }
+}
+
+impl ReplicaCore {
+    /// Sends heartbeats when they are due, and steps down without a quorum.
+    pub(super) fn tick_leader(&mut self, now: TickTime) -> Result<()> {
+        let Some(leading) = &self.leading else {
+            return Ok(());
+        };
+        let confirmed_at = leading
+            .quorum_confirmed_at(&self.own, self.membership(), now)
+            .unwrap_or_default()
+            .max(leading.elected_at);
+        if now.saturating_since(confirmed_at) > self.settings.election_timeout_max {
+            return self.become_follower(now, self.term());
+        }
+        if now >= leading.next_heartbeat {
+            self.send_heartbeats(now);
+            self.resend_snapshots(now);
+        }
+        self.promote_learner(now)
+    }
+
+    /// Creates progress for new members and forgets former ones.
+    pub(super) fn refresh_peers(&mut self) {
+        let next_index = self.store.last_index() + 1;
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let membership = self.members.current();
+        let everyone = || membership.voters.iter().chain(&membership.learners);
+        leading
+            .peers
+            .retain(|disk_id, _| everyone().any(|info| info.disk_id == *disk_id));
+        for info in everyone().filter(|info| info.disk_id != self.own.disk_id) {
+            leading
+                .peers
+                .entry(info.disk_id.clone())
+                .or_insert_with(|| PeerProgress::new(info.clone(), next_index))
+                .info = info.clone();
+        }
+    }
+
+    pub(super) fn send_heartbeats(&mut self, now: TickTime) {
+        let interval = self.settings.heartbeat_interval;
+        if let Some(leading) = &mut self.leading {
+            leading.next_heartbeat = now + interval;
+        }
+        for disk_id in self.reachable_disks() {
+            self.probe_silent_peer(now, &disk_id);
+            self.send_append(now, &disk_id, true);
+        }
+    }
+
+    /// Sends new entries to all members that can take them.
+    pub(super) fn send_entries(&mut self, now: TickTime) {
+        for disk_id in self.reachable_disks() {
+            self.send_append(now, &disk_id, false);
+        }
+    }
+
+    fn reachable_disks(&self) -> Vec<Bytes> {
+        reachable_others(self.members.current(), &self.own)
+            .map(|info| info.disk_id.clone())
+            .collect()
+    }
+
+    pub(super) fn peer_mut(&mut self, disk_id: &Bytes) -> Option<&mut PeerProgress> {
+        self.leading.as_mut()?.peers.get_mut(disk_id)
+    }
+
+    pub(super) fn is_answering(&self, now: TickTime, peer: &PeerProgress) -> bool {
+        let longest = self.settings.election_timeout_max;
+        peer.confirmed_at
+            .is_some_and(|at| now.saturating_since(at) <= longest)
+    }
+
+    /// Stops sending entries to a member that does not answer, until it answers a heartbeat.
+    fn probe_silent_peer(&mut self, now: TickTime, disk_id: &Bytes) {
+        let Some(peer) = self.leading.as_ref().and_then(|it| it.peers.get(disk_id)) else {
+            return;
+        };
+        if self.is_answering(now, peer) {
+            return;
+        }
+        if let Some(peer) = self.peer_mut(disk_id)
+            && !peer.is_probing
+        {
+            peer.is_probing = true;
+            peer.next_index = peer.match_index + 1;
+        }
+    }
+
+    /// Sends one append: entries if the member can take them, otherwise only a due heartbeat.
+    pub(super) fn send_append(&mut self, now: TickTime, disk_id: &Bytes, is_heartbeat: bool) {
+        let Some(leading) = &self.leading else {
+            return;
+        };
+        let Some(peer) = leading.peers.get(disk_id) else {
+            return;
+        };
+        let previous_index = peer.next_index - 1;
+        let previous_term = self.store.term_at(previous_index);
+        let can_take = !peer.is_probing
+            && peer.transfer.is_none()
+            && peer.in_flight() < self.settings.max_in_flight_appends;
+        if can_take && previous_term.is_none() {
+            self.start_snapshot(now, disk_id);
+        }
+        let entries = match previous_term {
+            Some(_) if can_take => self
+                .store
+                .entries(peer_next(previous_index), self.settings.max_append_bytes),
+            _ => Vec::new(),
+        };
+        if entries.is_empty() && !is_heartbeat {
+            return;
+        }
+        let request = AppendRequest {
+            term: self.term(),
+            leader_id: self.own.replica_id,
+            previous_index: previous_term.map_or(0, |_| previous_index),
+            previous_term: previous_term.unwrap_or_default(),
+            commit_index: self.commit_index,
+            entries,
+            sequence: 0,
+        };
+        self.send_request(now, disk_id, request);
+    }
+
+    fn send_request(&mut self, now: TickTime, disk_id: &Bytes, mut request: AppendRequest) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        request.sequence = leading.next_sequence();
+        let Some(peer) = leading.peers.get_mut(disk_id) else {
+            return;
+        };
+        peer.note_send(request.sequence, now, request.commit_index);
+        if let Some(last) = request.entries.last() {
+            peer.next_index = last.index + 1;
+        }
+        let to = peer.info.clone();
+        self.send(to, PeerMessage::Append(request));
+    }
+
+    /// Takes a member's answer in: confirmation, matching position, commit.
+    pub(super) fn on_append_reply(&mut self, now: TickTime, reply: &AppendReply) -> Result<()> {
+        if reply.term > self.term() {
+            return self.become_follower(now, reply.term);
+        }
+        let last_index = self.store.last_index();
+        let is_current = reply.term == self.term();
+        let Some(leading) = self.leading.as_mut().filter(|_| is_current) else {
+            return Ok(());
+        };
+        let latest_sequence = leading.sequence;
+        let Some(peer) = leading.peers.get_mut(&reply.disk_id) else {
+            return Ok(());
+        };
+        if reply.accepted {
+            peer.note_match(reply.last_index.min(last_index));
+        }
+        peer.note_answer(reply.sequence);
+        let is_outdated = reply.sequence <= peer.reset_sequence;
+        if reply.accepted {
+            peer.is_probing &= is_outdated;
+            self.advance_commit();
+            self.promote_learner(now)?;
+            self.send_append(now, &reply.disk_id, false);
+        } else if !is_outdated {
+            peer.go_back(reply.last_index, latest_sequence);
+            self.send_append(now, &reply.disk_id, true);
+        }
+        Ok(())
+    }
+}
+
+fn peer_next(previous_index: u64) -> u64 {
+    previous_index + 1
+}
--- /dev/null
+++ b/src/consensus/peer_progress.rs
@@ -0,0 +1,110 @@
+//! What a leader knows about one other replica.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+
+use crate::generated::ReplicaInfo;
+use crate::storage::SnapshotMeta;
+use crate::types::TickTime;
+
+/// Remembered send times; an answer to an older append does not confirm the leader.
+const MAX_REMEMBERED_SENDS: usize = 256;
+
+/// Replication state of one other replica.
+#[derive(Debug)]
+pub(super) struct PeerProgress {
+    pub(super) info: ReplicaInfo,
+    /// Highest index known to be on its disk and equal to the leader's log.
+    pub(super) match_index: u64,
+    /// Next index to send.
+    pub(super) next_index: u64,
+    /// The matching position is not known yet, so only empty appends are sent.
+    pub(super) is_probing: bool,
+    /// Rejections of appends up to this one are outdated.
+    pub(super) reset_sequence: u64,
+    /// Send time of the latest append that was answered.
+    pub(super) confirmed_at: Option<TickTime>,
+    pub(super) transfer: Option<OutgoingSnapshot>,
+    /// Holds everything on disk that was committed when the latest answered append was sent.
+    pub(super) is_caught_up: bool,
+    sends: VecDeque<SentAppend>,
+}
+
+/// An append that was not answered yet.
+#[derive(Debug)]
+struct SentAppend {
+    sequence: u64,
+    sent_at: TickTime,
+    commit_index: u64,
+}
+
+/// Snapshot on its way to a replica.
+#[derive(Debug)]
+pub(super) struct OutgoingSnapshot {
+    pub(super) meta: SnapshotMeta,
+    pub(super) data: Bytes,
+    pub(super) offset: usize,
+    pub(super) sent_at: TickTime,
+    pub(super) sequence: u64,
+}
+
+impl PeerProgress {
+    pub(super) fn new(info: ReplicaInfo, next_index: u64) -> Self {
+        Self {
+            info,
+            match_index: 0,
+            next_index,
+            is_probing: true,
+            reset_sequence: 0,
+            confirmed_at: None,
+            transfer: None,
+            is_caught_up: false,
+            sends: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn note_send(&mut self, sequence: u64, sent_at: TickTime, commit_index: u64) {
+        if self.sends.len() == MAX_REMEMBERED_SENDS {
+            self.sends.pop_front();
+        }
+        self.sends.push_back(SentAppend {
+            sequence,
+            sent_at,
+            commit_index,
+        });
+    }
+
+    /// Notes that an append was answered after the matching position was raised.
+    ///
+    /// The leader is confirmed as of the time it sent the append, not as of the answer.
+    pub(super) fn note_answer(&mut self, sequence: u64) {
+        let answered = self.sends.iter().find(|sent| sent.sequence == sequence);
+        if let Some(sent) = answered {
+            self.confirmed_at = self.confirmed_at.max(Some(sent.sent_at));
+            self.is_caught_up = self.match_index >= sent.commit_index;
+        }
+        let is_older = |sent: &SentAppend| sent.sequence <= sequence;
+        while self.sends.front().is_some_and(is_older) {
+            self.sends.pop_front();
+        }
+    }
+
+    pub(super) fn in_flight(&self) -> usize {
+        self.sends.len()
+    }
+
+    /// Raises the matching position.
+    pub(super) fn note_match(&mut self, index: u64) {
+        self.match_index = self.match_index.max(index);
+        self.next_index = self.next_index.max(self.match_index + 1);
+    }
+
+    /// Goes back to an earlier position after a rejection.
+    pub(super) fn go_back(&mut self, hint: u64, latest_sequence: u64) {
+        let earliest = self.match_index + 1;
+        self.next_index = (hint + 1).min(self.next_index).max(earliest);
+        self.is_probing = true;
+        self.reset_sequence = latest_sequence;
+    }
+}
--- /dev/null
+++ b/tests/consensus.rs
@@ -0,0 +1,37 @@
+//! The replicated log keeps its promises under any mix of network, disk and clock faults.
+
+mod simulation;
+
+use simulation::Simulation;
+
+/// Schedules per cluster size in a normal run; `SIMULATION_SEEDS` overrides it for a longer search.
+const SCHEDULES: u64 = 300;
+
+fn run_schedules(size: u64) {
+    let schedules = std::env::var("SIMULATION_SEEDS")
+        .ok()
+        .and_then(|count| count.parse().ok())
+        .unwrap_or(SCHEDULES);
+    let mut acknowledged = 0;
+    for seed in 0..schedules {
+        match Simulation::run(seed, size) {
+            Ok(count) => acknowledged += count,
+            Err(error) => panic!("{error}"),
+        }
+    }
+    println!("size={size} schedules={schedules} acknowledged={acknowledged}");
+    assert!(acknowledged > 0, "no schedule acknowledged a proposal");
+}
+
+/// Guards against lost or diverging entries, two leaders in a term, votes of wiped disks, stale
+/// leases and lasting stand-still with three replicas.
+#[test]
+fn schedules_three_replicas() {
+    run_schedules(3);
+}
+
+/// As above with five replicas, where quorums overlap in fewer replicas than they hold.
+#[test]
+fn schedules_five_replicas() {
+    run_schedules(5);
+}
--- /dev/null
+++ b/tests/simulation/mod.rs
@@ -0,0 +1,337 @@
+//! Replicas over a fake network, fake disks and fake clocks, in one thread.
+
+mod disk;
+mod faults;
+mod oracle;
+mod replica;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ebonyjunction::consensus::{PeerMessage, ReplicaAction, ReplicaEvent, ReplicaRole};
+use ebonyjunction::generated::command::Change;
+use ebonyjunction::generated::{Command, ExpireCommand};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+pub use disk::SimulatedDisk;
+use faults::FaultPlan;
+use oracle::{Check, FRESHNESS_LEASE, Oracle};
+use replica::SimulatedReplica;
+
+/// Microseconds of simulated time.
+type Micros = u64;
+
+const FAULT_PERIOD: Micros = 6_000_000;
+const RECOVERY_BOUND: Micros = 25_000_000;
+const TICK_INTERVAL: Micros = 15_000;
+
+#[derive(Debug)]
+enum SimulatedEvent {
+    Tick(u64),
+    Flush(u64),
+    Deliver {
+        from: u64,
+        to: u64,
+        message: PeerMessage,
+    },
+    Propose,
+    Fault,
+    Restart(u64),
+}
+
+/// Chances and delays of the network, drawn once per seed.
+#[derive(Debug)]
+struct NetworkPlan {
+    loss: f64,
+    duplication: f64,
+    max_delay: Micros,
+}
+
+#[derive(Debug)]
+pub struct Simulation {
+    rng: SmallRng,
+    now: Micros,
+    next_event: u64,
+    events: BTreeMap<(Micros, u64), SimulatedEvent>,
+    replicas: BTreeMap<u64, SimulatedReplica>,
+    blocked: BTreeSet<(u64, u64)>,
+    network: NetworkPlan,
+    faults: FaultPlan,
+    oracle: Oracle,
+    next_token: u64,
+    is_tracing: bool,
+}
+
+impl Simulation {
+    /// Runs one schedule: faults, then quiet until all replicas agree again.
+    pub fn run(seed: u64, size: u64) -> Result<usize, String> {
+        let mut simulation = Self::new(seed, size);
+        simulation
+            .run_schedule()
+            .map_err(|error| format!("seed {seed}, {size} replicas, {error}"))?;
+        Ok(simulation.oracle.acknowledged())
+    }
+
+    fn new(seed: u64, size: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let network = NetworkPlan {
+            loss: rng.random_range(0.0..0.15),
+            duplication: rng.random_range(0.0..0.1),
+            max_delay: rng.random_range(500..60_000),
+        };
+        let mut simulation = Self {
+            network,
+            faults: FaultPlan::draw(&mut rng),
+            replicas: BTreeMap::new(),
+            rng,
+            now: 0,
+            next_event: 0,
+            events: BTreeMap::new(),
+            blocked: BTreeSet::new(),
+            oracle: Oracle::default(),
+            next_token: 1,
+            is_tracing: std::env::var_os("SIMULATION_TRACE").is_some(),
+        };
+        for id in 1..=size {
+            let replica = SimulatedReplica::new(id, size, &mut simulation.rng);
+            simulation.replicas.insert(id, replica);
+            simulation.schedule(0, SimulatedEvent::Restart(id));
+        }
+        simulation.schedule(0, SimulatedEvent::Propose);
+        simulation.schedule(1_500_000, SimulatedEvent::Fault);
+        simulation
+    }
+
+    fn run_schedule(&mut self) -> Check {
+        self.run_until(FAULT_PERIOD, |_| false)?;
+        self.end_faults();
+        let bound = self.now + RECOVERY_BOUND;
+        if !self.run_until(bound, Self::is_recovered)? {
+            return Err(format!(
+                "no progress after the faults ended: {}",
+                self.summary()
+            ));
+        }
+        self.oracle.check_acknowledged()
+    }
+
+    /// Handles events until a condition holds or a time is reached.
+    fn run_until(&mut self, bound: Micros, is_done: fn(&Self) -> bool) -> Result<bool, String> {
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if at > bound || is_done(self) {
+                self.schedule(at.saturating_sub(self.now), event);
+                return Ok(is_done(self));
+            }
+            self.now = at;
+            if self.is_tracing {
+                println!("{at} {event:?}");
+            }
+            self.handle(event)
+                .map_err(|error| format!("at {at} us: {error}"))?;
+            self.check_leases()
+                .map_err(|error| format!("at {at} us: {error}"))?;
+        }
+        Ok(false)
+    }
+
+    fn schedule(&mut self, after: Micros, event: SimulatedEvent) {
+        self.next_event += 1;
+        self.events
+            .insert((self.now + after, self.next_event), event);
+    }
+
+    fn handle(&mut self, event: SimulatedEvent) -> Check {
+        match event {
+            SimulatedEvent::Tick(id) => {
+                self.schedule(TICK_INTERVAL, SimulatedEvent::Tick(id));
+                self.step(id, ReplicaEvent::Tick)
+            }
+            SimulatedEvent::Flush(id) => self.flush(id),
+            SimulatedEvent::Deliver { from, to, message } => {
+                if self.blocked.contains(&(from, to)) {
+                    return Ok(());
+                }
+                self.step(to, ReplicaEvent::Message { from, message })
+            }
+            SimulatedEvent::Propose => self.propose(),
+            SimulatedEvent::Fault => {
+                self.inject_fault();
+                Ok(())
+            }
+            SimulatedEvent::Restart(id) => self.restart(id),
+        }
+    }
+
+    fn propose(&mut self) -> Check {
+        let pause = self.rng.random_range(1_000..60_000);
+        self.schedule(pause, SimulatedEvent::Propose);
+        let leaders: Vec<u64> = self
+            .replicas
+            .iter()
+            .filter(|(_, replica)| replica.role() == Some(ReplicaRole::Leader))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in leaders {
+            let token = self.next_token;
+            self.next_token += 1;
+            let change = Change::Expire(ExpireCommand {
+                created_before_ms: token,
+            });
+            let command = Command {
+                change: Some(change),
+            };
+            self.step(id, ReplicaEvent::Propose { token, command })?;
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, id: u64, event: ReplicaEvent) -> Check {
+        let now = self.now;
+        let Some(replica) = self.replicas.get_mut(&id) else {
+            return Ok(());
+        };
+        let Some(actions) = replica.step(now, event)? else {
+            return Ok(());
+        };
+        if !replica.has_flush_pending {
+            replica.has_flush_pending = true;
+            let delay = self.rng.random_range(0..10_000);
+            self.schedule(delay, SimulatedEvent::Flush(id));
+        }
+        self.carry_out(id, actions)
+    }
+
+    fn flush(&mut self, id: u64) -> Check {
+        let now = self.now;
+        let Some(replica) = self.replicas.get_mut(&id) else {
+            return Ok(());
+        };
+        let actions = replica.flush(now)?;
+        self.carry_out(id, actions)
+    }
+
+    fn carry_out(&mut self, id: u64, actions: Vec<ReplicaAction>) -> Check {
+        for action in actions {
+            match action {
+                ReplicaAction::Send { to, message } => {
+                    self.check_vote(id, &message)?;
+                    self.send(id, to.replica_id, &message);
+                }
+                ReplicaAction::Commit {
+                    index,
+                    term,
+                    command,
+                    token,
+                } => {
+                    self.apply(id, index, term, &command, token)?;
+                }
+                ReplicaAction::Restore { meta, data } => {
+                    let Some(replica) = self.replicas.get_mut(&id) else {
+                        continue;
+                    };
+                    self.oracle.check_restore(replica.restore(meta, data))?;
+                }
+                ReplicaAction::WantSnapshot { .. } => {
+                    let Some(event) = self.replicas.get(&id).map(SimulatedReplica::snapshot) else {
+                        continue;
+                    };
+                    self.step(id, event)?;
+                }
+                ReplicaAction::RoleChanged { role, term } => {
+                    let disk = &self.replicas[&id].disk;
+                    if role == ReplicaRole::Leader {
+                        self.oracle.note_leader(term, id, disk)?;
+                    }
+                }
+                ReplicaAction::Drop { .. } => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn check_vote(&self, id: u64, message: &PeerMessage) -> Check {
+        let is_vote = match message {
+            PeerMessage::Vote(_) => true,
+            PeerMessage::VoteReply(reply, _) => reply.granted,
+            _ => false,
+        };
+        if is_vote {
+            return self.oracle.check_voter(&self.replicas[&id].disk);
+        }
+        Ok(())
+    }
+
+    fn apply(
+        &mut self,
+        id: u64,
+        index: u64,
+        term: u64,
+        command: &Command,
+        token: Option<u64>,
+    ) -> Check {
+        let Some(replica) = self.replicas.get_mut(&id) else {
+            return Ok(());
+        };
+        let state = replica.apply(index, term, command)?;
+        let is_new = index > self.oracle.last_committed();
+        self.oracle.note_commit(state, command)?;
+        if is_new {
+            let leader_term = replica.term();
+            self.oracle.committing_term = self.oracle.committing_term.max(leader_term);
+        }
+        token.map_or(Ok(()), |token| {
+            self.oracle.note_acknowledged(token, command)
+        })
+    }
+
+    fn send(&mut self, from: u64, to: u64, message: &PeerMessage) {
+        let is_duplicated = self.rng.random_bool(self.network.duplication);
+        for _ in 0..=usize::from(is_duplicated) {
+            if self.rng.random_bool(self.network.loss) {
+                continue;
+            }
+            let delay = self.rng.random_range(100..=self.network.max_delay);
+            let message = message.clone();
+            self.schedule(delay, SimulatedEvent::Deliver { from, to, message });
+        }
+    }
+
+    /// Checks that no leader believes in its lease while a newer one has committed entries.
+    fn check_leases(&self) -> Check {
+        for (id, replica) in &self.replicas {
+            let Some((term, age)) = replica.lease(self.now) else {
+                continue;
+            };
+            if age < FRESHNESS_LEASE && term < self.oracle.committing_term {
+                return Err(format!(
+                    "leader {id} of term {term} was confirmed {age:?} ago, but a leader of term {} \
+                     has committed entries",
+                    self.oracle.committing_term
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether all replicas are voters again and have applied the same entries.
+    fn is_recovered(&self) -> bool {
+        let last = self.oracle.last_committed();
+        let is_current = |replica: &SimulatedReplica| {
+            replica.is_voter_for_all(&self.replicas) && replica.applied.index + 20 >= last
+        };
+        last > self.faults.last_committed_at_end + 50 && self.replicas.values().all(is_current)
+    }
+
+    fn summary(&self) -> String {
+        let states: Vec<String> = self
+            .replicas
+            .values()
+            .map(SimulatedReplica::summary)
+            .collect();
+        format!(
+            "committed {}, {}",
+            self.oracle.last_committed(),
+            states.join("; ")
+        )
+    }
+}
--- /dev/null
+++ b/tests/simulation/oracle.rs
@@ -0,0 +1,169 @@
+//! What must hold whatever the network and the disks do.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use ebonyjunction::generated::command::Change;
+use ebonyjunction::generated::{Command, Membership};
+use ebonyjunction::storage::LogStore;
+use prost::Message;
+
+use super::disk::SimulatedDisk;
+
+/// Shortest election timeout less the largest drift between two clocks of the simulation.
+pub const FRESHNESS_LEASE: Duration = Duration::from_millis(270);
+
+pub type Check = Result<(), String>;
+
+/// State that a replica has applied: the position and a running checksum.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AppliedState {
+    pub index: u64,
+    pub term: u64,
+    pub checksum: u64,
+}
+
+impl AppliedState {
+    pub fn next(self, term: u64, command: &Command) -> Self {
+        let crc = crc32fast::hash(&command.encode_to_vec());
+        Self {
+            index: self.index + 1,
+            term,
+            checksum: self.checksum.wrapping_mul(0x0100_0000_01b3) ^ u64::from(crc) ^ term,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Oracle {
+    /// States after each committed entry; position 0 is the empty state.
+    committed: Vec<AppliedState>,
+    leaders: BTreeMap<u64, u64>,
+    /// Latest term whose leader committed anything.
+    pub committing_term: u64,
+    acknowledged: BTreeSet<u64>,
+    applied_tokens: BTreeSet<u64>,
+    pub wiped_disks: BTreeSet<Vec<u8>>,
+}
+
+impl Oracle {
+    pub fn last_committed(&self) -> u64 {
+        self.committed.len().saturating_sub(1) as u64
+    }
+
+    pub fn acknowledged(&self) -> usize {
+        self.acknowledged.len()
+    }
+
+    /// Checks an applied entry against what any replica applied at that index.
+    pub fn note_commit(&mut self, state: AppliedState, command: &Command) -> Check {
+        if self.committed.is_empty() {
+            self.committed.push(AppliedState::default());
+        }
+        if let Some(known) = self.committed.get(state.index as usize) {
+            if *known != state {
+                return Err(format!("committed entry {} changed", state.index));
+            }
+            return Ok(());
+        }
+        if state.index != self.last_committed() + 1 {
+            return Err(format!(
+                "entry {} committed with a gap before it",
+                state.index
+            ));
+        }
+        self.committed.push(state);
+        if let Some(Change::Expire(expire)) = &command.change
+            && !self.applied_tokens.insert(expire.created_before_ms)
+        {
+            return Err(format!("proposal {} ran twice", expire.created_before_ms));
+        }
+        Ok(())
+    }
+
+    pub fn note_acknowledged(&mut self, token: u64, command: &Command) -> Check {
+        self.acknowledged.insert(token);
+        let expected = Some(Change::Expire(ebonyjunction::generated::ExpireCommand {
+            created_before_ms: token,
+        }));
+        if command.change != expected {
+            return Err(format!(
+                "proposal {token} was answered with another command"
+            ));
+        }
+        Ok(())
+    }
+
+    pub fn check_restore(&self, state: AppliedState) -> Check {
+        if self.committed.get(state.index as usize) == Some(&state) {
+            return Ok(());
+        }
+        Err(format!(
+            "snapshot at {} is not a committed state",
+            state.index
+        ))
+    }
+
+    /// Checks that a term has one leader, and that its log holds all that was committed before.
+    pub fn note_leader(&mut self, term: u64, replica_id: u64, disk: &SimulatedDisk) -> Check {
+        let leader = *self.leaders.entry(term).or_insert(replica_id);
+        if leader != replica_id {
+            return Err(format!("{leader} and {replica_id} both lead term {term}"));
+        }
+        let state = disk.state();
+        for known in &self.committed {
+            let is_later = term > self.committing_term || known.term <= term;
+            let held = state.live.term_at(known.index);
+            let is_covered = known.index < state.live.first_index();
+            if is_later && !is_covered && held != Some(known.term) {
+                return Err(format!(
+                    "leader {replica_id} of term {term} lacks committed entry {}",
+                    known.index
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks that a replica that votes or asks for votes was not wiped since it became a voter.
+    pub fn check_voter(&self, disk: &SimulatedDisk) -> Check {
+        let disk_id = disk.state().live.disk_id().to_vec();
+        if !self.wiped_disks.contains(&disk_id) {
+            return Ok(());
+        }
+        let is_voter = memberships(disk)
+            .iter()
+            .any(|membership| membership.voters.iter().any(|info| info.disk_id == disk_id));
+        if is_voter {
+            return Ok(());
+        }
+        Err("a replica with a wiped disk voted before its promotion".to_owned())
+    }
+
+    pub fn check_acknowledged(&self) -> Check {
+        let lost = self.acknowledged.difference(&self.applied_tokens).next();
+        lost.map_or(Ok(()), |token| {
+            Err(format!("acknowledged proposal {token} was lost"))
+        })
+    }
+}
+
+/// Returns all memberships in the log and snapshot of a disk, the latest last.
+pub fn memberships(disk: &SimulatedDisk) -> Vec<Membership> {
+    let state = disk.state();
+    let store = &state.live;
+    let mut found = Vec::new();
+    let mut next_index = 1;
+    if let Some((meta, data)) = store.snapshot() {
+        let snapshot = ebonyjunction::generated::ControlSnapshot::decode(data).unwrap();
+        found.extend(snapshot.membership);
+        next_index = meta.last_index + 1;
+    }
+    for index in next_index..=store.last_index() {
+        let command = store.entry(index).and_then(|entry| entry.command);
+        if let Some(Change::Membership(membership)) = command.and_then(|command| command.change) {
+            found.push(membership);
+        }
+    }
+    found
+}
