Add the control replica

One thread owns the replicated log, the state and the leader's tables; gRPC handlers pass work to it through a bounded queue, and one sync covers all inputs of a batch. Replies of the core are matched to the calls that wait for them by sender and kind; a reply to a pre-vote can never answer a vote.

--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -18,7 +18,8 @@
     SettleRequest, ShowReply, ShowRequest, StatusReply, StatusRequest,
 };
 
-use channels::{ChannelTable, MeshChannel, is_permanent};
+use channels::{ChannelTable, is_permanent};
+pub(crate) use channels::{MeshChannel, TokenInterceptor, mesh_endpoint};
 
 /// Metadata key that carries the mesh token.
 pub const MESH_TOKEN_KEY: &str = "ebj-mesh-token";
--- /dev/null
+++ b/src/control_server/leader.rs
@@ -0,0 +1,120 @@
+//! Soft state of a leader: leases of announced targets and shares of callers' rates.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tonic::Status;
+
+use crate::directory::LeaseTable;
+use crate::error::MeshError;
+use crate::generated::{
+    DirectoryDelta, HeartbeatReply, HeartbeatRequest, NodeStatus, PlanSet,
+    RateDemand as DemandMessage, RateShare as ShareMessage,
+};
+use crate::plans::PlanBook;
+use crate::shares::{RateDemand, ShareLedger};
+use crate::types::{NodeId, ServiceName, TickTime};
+
+const MAX_DEMANDS: usize = 10_000;
+
+/// What a heartbeat is answered from besides the tables.
+#[derive(Debug)]
+pub(super) struct HeartbeatContext<'a> {
+    pub(super) now: TickTime,
+    pub(super) quorum_age: Duration,
+    pub(super) book: &'a Arc<PlanBook>,
+    pub(super) plan_set: &'a PlanSet,
+    pub(super) replicas: &'a [String],
+}
+
+/// Tables of one term.
+#[derive(Debug)]
+pub(super) struct LeaderTables {
+    term: u64,
+    leases: LeaseTable,
+    shares: ShareLedger,
+}
+
+impl LeaderTables {
+    pub(super) fn new(term: u64, now: TickTime) -> Self {
+        Self {
+            term,
+            leases: LeaseTable::new(term, now),
+            shares: ShareLedger::new(now),
+        }
+    }
+
+    pub(super) fn heartbeat(
+        &mut self,
+        request: &HeartbeatRequest,
+        context: &HeartbeatContext<'_>,
+    ) -> Result<HeartbeatReply, Status> {
+        let now = context.now;
+        let node = request
+            .node
+            .clone()
+            .ok_or_else(|| Status::invalid_argument("the node is missing"))?;
+        let node_id = NodeId::try_from(node.node_id.as_ref()).map_err(|error| invalid(&error))?;
+        self.leases
+            .announce(now, node, request.plan_version)
+            .map_err(|error| invalid(&error))?;
+        let is_behind = request.plan_version != context.book.version();
+        Ok(HeartbeatReply {
+            term: self.term,
+            freshness_age_ms: context.quorum_age.as_millis() as u32,
+            plan_version: context.book.version(),
+            plans: is_behind.then(|| context.plan_set.clone()),
+            directory: self.directory_for(now, request),
+            shares: self.renew_shares(now, node_id, &request.demands, context.book)?,
+            replicas: context.replicas.to_vec(),
+        })
+    }
+
+    pub(super) fn expire(&mut self, now: TickTime) {
+        self.leases.expire(now);
+        self.shares.expire(now);
+    }
+
+    pub(super) fn statuses(&self, now: TickTime) -> Vec<NodeStatus> {
+        self.leases.statuses(now)
+    }
+
+    fn directory_for(&self, now: TickTime, request: &HeartbeatRequest) -> Option<DirectoryDelta> {
+        if !self.leases.is_complete(now) {
+            return None;
+        }
+        let names = request.services.iter();
+        let services: BTreeSet<ServiceName> = names
+            .filter_map(|name| ServiceName::try_from(name.as_str()).ok())
+            .collect();
+        let filter = (!request.all_services).then_some(&services);
+        let delta =
+            self.leases
+                .delta_since(request.directory_term, request.directory_revision, filter);
+        Some(delta)
+    }
+
+    fn renew_shares(
+        &mut self,
+        now: TickTime,
+        node_id: NodeId,
+        demands: &[DemandMessage],
+        book: &PlanBook,
+    ) -> Result<Vec<ShareMessage>, Status> {
+        if demands.len() > MAX_DEMANDS {
+            return Err(Status::invalid_argument("too many demands"));
+        }
+        let demands: Vec<RateDemand> = demands
+            .iter()
+            .map(RateDemand::try_from)
+            .collect::<Result<_, MeshError>>()
+            .map_err(|error| invalid(&error))?;
+        let shares = self.shares.renew(now, node_id, &demands, book);
+        Ok(shares.iter().map(ShareMessage::from).collect())
+    }
+}
+
+fn invalid(error: &MeshError) -> Status {
+    Status::invalid_argument(error.to_string())
+}
--- /dev/null
+++ b/src/control_server/peers.rs
@@ -0,0 +1,124 @@
+//! Outgoing replication messages, one sender task per replica.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::runtime::Handle;
+use tokio::sync::{Semaphore, mpsc};
+use tonic::Status;
+
+use crate::consensus::PeerMessage;
+use crate::control_client::{MAX_MESSAGE_BYTES, MeshChannel};
+use crate::generated::ReplicaInfo;
+use crate::generated::replication_client::ReplicationClient;
+
+use super::links::LinkTable;
+use super::requests::{InputSender, ReplicaInput};
+
+// Messages beyond this are dropped; the core repeats what was not acknowledged.
+const QUEUED_MESSAGES: usize = 256;
+// As many appends as the core leaves unanswered, and heartbeats.
+const CALLS_IN_FLIGHT: usize = 96;
+const CALL_BOUND: Duration = Duration::from_secs(1);
+const SNAPSHOT_BOUND: Duration = Duration::from_secs(5);
+
+/// Queues of messages by replica address.
+#[derive(Debug)]
+pub(super) struct PeerTable {
+    runtime: Handle,
+    links: LinkTable,
+    inputs: InputSender,
+    queues: BTreeMap<String, mpsc::Sender<PeerMessage>>,
+}
+
+impl PeerTable {
+    pub(super) fn new(runtime: Handle, links: LinkTable, inputs: InputSender) -> Self {
+        Self {
+            runtime,
+            links,
+            inputs,
+            queues: BTreeMap::new(),
+        }
+    }
+
+    /// Queues a message without waiting.
+    pub(super) fn send(&mut self, to: ReplicaInfo, message: PeerMessage) {
+        let queue = self.queues.entry(to.address.clone()).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(QUEUED_MESSAGES);
+            let sending = send_queued(to, receiver, self.links.clone(), self.inputs.clone());
+            self.runtime.spawn(sending);
+            sender
+        });
+        // A full queue means that the replica is slow or cut off.
+        let _ = queue.try_send(message);
+    }
+}
+
+async fn send_queued(
+    to: ReplicaInfo,
+    mut queue: mpsc::Receiver<PeerMessage>,
+    links: LinkTable,
+    inputs: InputSender,
+) {
+    let permits = Arc::new(Semaphore::new(CALLS_IN_FLIGHT));
+    while let Some(message) = queue.recv().await {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        let (to, links, inputs) = (to.clone(), links.clone(), inputs.clone());
+        tokio::spawn(async move {
+            if let Ok(Some(reply)) = send_message(&links, &to.address, message).await {
+                let input = ReplicaInput::Peer {
+                    from: to.replica_id,
+                    message: reply,
+                    reply: None,
+                };
+                // The core asks again when a reply is lost.
+                let _ = inputs.send(input);
+            }
+            drop(permit);
+        });
+    }
+}
+
+async fn send_message(
+    links: &LinkTable,
+    address: &str,
+    message: PeerMessage,
+) -> Result<Option<PeerMessage>, Status> {
+    match message {
+        PeerMessage::Vote(request) => {
+            let is_pre_vote = request.pre_vote;
+            let call = |channel| async move { replication(channel).vote(request).await };
+            let reply = links.call(address, CALL_BOUND, call).await?;
+            Ok(Some(PeerMessage::VoteReply(reply, is_pre_vote)))
+        }
+        PeerMessage::Append(request) => {
+            let call = |channel| async move { replication(channel).append(request).await };
+            let reply = links.call(address, CALL_BOUND, call).await?;
+            Ok(Some(PeerMessage::AppendReply(reply)))
+        }
+        PeerMessage::Snapshot(chunk) => {
+            let call = |channel| async move { replication(channel).install_snapshot(chunk).await };
+            let reply = links.call(address, SNAPSHOT_BOUND, call).await?;
+            Ok(Some(PeerMessage::SnapshotReply(reply)))
+        }
+        PeerMessage::Join(request) => {
+            let call = |channel| async move { replication(channel).join(request).await };
+            let reply = links.call(address, CALL_BOUND, call).await?;
+            Ok(Some(PeerMessage::JoinReply(reply)))
+        }
+        // Replies travel as answers of the calls that they belong to.
+        PeerMessage::VoteReply(..)
+        | PeerMessage::AppendReply(_)
+        | PeerMessage::SnapshotReply(_)
+        | PeerMessage::JoinReply(_) => Ok(None),
+    }
+}
+
+fn replication(channel: MeshChannel) -> ReplicationClient<MeshChannel> {
+    ReplicationClient::new(channel)
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES)
+}
--- /dev/null
+++ b/src/control_server/relay.rs
@@ -0,0 +1,240 @@
+//! Registry and operator services. A replica that is not the leader relays each call to the leader once.
+
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tonic::{Request, Response, Status};
+
+use crate::control_client::{MAX_MESSAGE_BYTES, MeshChannel};
+use crate::control_state::check_claim;
+use crate::error::MeshError;
+use crate::generated::command::Change;
+use crate::generated::operator_client::OperatorClient;
+use crate::generated::operator_server::Operator;
+use crate::generated::registry_client::RegistryClient;
+use crate::generated::registry_server::Registry;
+use crate::generated::{
+    ApplyReply, ApplyRequest, ClaimCommand, ClaimReply, ClaimRequest, Command, HeartbeatReply,
+    HeartbeatRequest, PlanChange, ReplicaInfo, SettleCommand, SettleReply, SettleRequest,
+    ShowReply, ShowRequest, StatusReply, StatusRequest,
+};
+use crate::plans::PlanBook;
+
+use super::clock::unix_millis;
+use super::links::LinkTable;
+use super::requests::{InputSender, ProposalReply, ReplicaInput};
+
+const RELAY_BOUND: Duration = Duration::from_millis(800);
+const APPLY_RELAY_BOUND: Duration = Duration::from_millis(2_500);
+const MAX_CHANGE_ID_BYTES: usize = 64;
+// Keys from further ahead would be held long after their work; clocks of nodes and replicas agree better than this.
+const MAX_KEY_AHEAD_MS: u64 = 300_000;
+
+/// Where calls go at the moment.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(super) struct LeaderView {
+    /// Whether this replica leads.
+    pub(super) is_own: bool,
+    /// The leader, if one is known.
+    pub(super) leader: Option<ReplicaInfo>,
+}
+
+/// Handlers of the registry and operator services.
+#[derive(Debug, Clone)]
+pub(super) struct MeshService {
+    pub(super) inputs: InputSender,
+    pub(super) view: watch::Receiver<LeaderView>,
+    pub(super) links: LinkTable,
+}
+
+impl MeshService {
+    /// Returns the leader's address when the call has to be relayed, and `None` when this replica leads.
+    fn relay_address(&self, is_relayed: bool) -> Result<Option<String>, Status> {
+        let view = self.view.borrow();
+        if view.is_own {
+            return Ok(None);
+        }
+        match &view.leader {
+            Some(leader) if !is_relayed => Ok(Some(leader.address.clone())),
+            Some(_) => Err(Status::unavailable("this replica is not the leader")),
+            None => Err(Status::unavailable("no leader is known")),
+        }
+    }
+
+    async fn propose<T>(
+        &self,
+        change: Change,
+        reply: impl FnOnce(super::requests::Reply<T>) -> ProposalReply,
+    ) -> Result<T, Status> {
+        let command = Command {
+            change: Some(change),
+        };
+        self.inputs
+            .ask(|sender| ReplicaInput::Propose {
+                command,
+                reply: reply(sender),
+            })
+            .await
+    }
+}
+
+#[tonic::async_trait]
+impl Registry for MeshService {
+    async fn heartbeat(
+        &self,
+        request: Request<HeartbeatRequest>,
+    ) -> Result<Response<HeartbeatReply>, Status> {
+        let mut request = request.into_inner();
+        let Some(address) = self.relay_address(request.relayed)? else {
+            let ask = |reply| ReplicaInput::Heartbeat { request, reply };
+            return self.inputs.ask(ask).await.map(Response::new);
+        };
+        request.relayed = true;
+        let call = |channel| async move { registry(channel).heartbeat(request).await };
+        let reply = self.links.call(&address, RELAY_BOUND, call).await?;
+        Ok(Response::new(reply))
+    }
+
+    async fn claim(&self, request: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
+        let mut request = request.into_inner();
+        let key = check_claim(request.key.as_ref(), &request.attempt_id).map_err(invalid)?;
+        if key.created_ms() > unix_millis().saturating_add(MAX_KEY_AHEAD_MS) {
+            return Err(Status::invalid_argument(
+                "the idempotency key was created in the future",
+            ));
+        }
+        let Some(address) = self.relay_address(request.relayed)? else {
+            let change = Change::Claim(ClaimCommand {
+                key: request.key,
+                attempt_id: request.attempt_id,
+            });
+            return self
+                .propose(change, ProposalReply::Claim)
+                .await
+                .map(Response::new);
+        };
+        request.relayed = true;
+        let call = |channel| async move { registry(channel).claim(request).await };
+        let reply = self.links.call(&address, RELAY_BOUND, call).await?;
+        Ok(Response::new(reply))
+    }
+
+    async fn settle(
+        &self,
+        request: Request<SettleRequest>,
+    ) -> Result<Response<SettleReply>, Status> {
+        let mut request = request.into_inner();
+        check_claim(request.key.as_ref(), &request.attempt_id).map_err(invalid)?;
+        let Some(address) = self.relay_address(request.relayed)? else {
+            let change = Change::Settle(SettleCommand {
+                key: request.key,
+                attempt_id: request.attempt_id,
+                outcome: request.outcome,
+            });
+            return self
+                .propose(change, ProposalReply::Settle)
+                .await
+                .map(Response::new);
+        };
+        request.relayed = true;
+        let call = |channel| async move { registry(channel).settle(request).await };
+        let reply = self.links.call(&address, RELAY_BOUND, call).await?;
+        Ok(Response::new(reply))
+    }
+}
+
+#[tonic::async_trait]
+impl Operator for MeshService {
+    async fn apply_plans(
+        &self,
+        request: Request<ApplyRequest>,
+    ) -> Result<Response<ApplyReply>, Status> {
+        let mut request = request.into_inner();
+        if let Some(findings) = check_change(&request)? {
+            return Ok(Response::new(ApplyReply {
+                findings,
+                ..ApplyReply::default()
+            }));
+        }
+        let Some(address) = self.relay_address(request.relayed)? else {
+            let change = Change::Plans(PlanChange {
+                change_id: request.change_id,
+                base_version: request.base_version,
+                plans: request.plans,
+            });
+            return self
+                .propose(change, ProposalReply::Apply)
+                .await
+                .map(Response::new);
+        };
+        request.relayed = true;
+        let call = |channel| async move { operator(channel).apply_plans(request).await };
+        let reply = self.links.call(&address, APPLY_RELAY_BOUND, call).await?;
+        Ok(Response::new(reply))
+    }
+
+    async fn show_plans(
+        &self,
+        request: Request<ShowRequest>,
+    ) -> Result<Response<ShowReply>, Status> {
+        let Some(address) = self.relay_address(request.into_inner().relayed)? else {
+            let ask = |reply| ReplicaInput::Show { reply };
+            return self.inputs.ask(ask).await.map(Response::new);
+        };
+        let request = ShowRequest { relayed: true };
+        let call = |channel| async move { operator(channel).show_plans(request).await };
+        let reply = self.links.call(&address, APPLY_RELAY_BOUND, call).await?;
+        Ok(Response::new(reply))
+    }
+
+    async fn status(
+        &self,
+        request: Request<StatusRequest>,
+    ) -> Result<Response<StatusReply>, Status> {
+        let is_relayed = request.into_inner().relayed;
+        if let Ok(Some(address)) = self.relay_address(is_relayed) {
+            let request = StatusRequest { relayed: true };
+            let call = |channel| async move { operator(channel).status(request).await };
+            if let Ok(reply) = self.links.call(&address, RELAY_BOUND, call).await {
+                return Ok(Response::new(reply));
+            }
+        }
+        // Without a leader the operator still learns what this replica knows.
+        let ask = |reply| ReplicaInput::Status { reply };
+        self.inputs.ask(ask).await.map(Response::new)
+    }
+}
+
+/// Checks a change before it is logged; returns the findings in its lists, if there are any.
+fn check_change(request: &ApplyRequest) -> Result<Option<Vec<String>>, Status> {
+    let id = &request.change_id;
+    if id.is_empty() || id.len() > MAX_CHANGE_ID_BYTES || !id.bytes().all(|b| b.is_ascii_graphic())
+    {
+        let detail = format!("the change id must have 1 to {MAX_CHANGE_ID_BYTES} characters");
+        return Err(Status::invalid_argument(detail));
+    }
+    let Some(plans) = &request.plans else {
+        return Err(Status::invalid_argument("the lists are missing"));
+    };
+    match PlanBook::try_from(plans) {
+        Ok(_) => Ok(None),
+        Err(MeshError::Findings(list)) => Ok(Some(list.iter().map(ToString::to_string).collect())),
+        Err(error) => Err(invalid(error)),
+    }
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "used as the function of map_err"
+)]
+fn invalid(error: MeshError) -> Status {
+    Status::invalid_argument(error.to_string())
+}
+
+fn registry(channel: MeshChannel) -> RegistryClient<MeshChannel> {
+    RegistryClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES)
+}
+
+fn operator(channel: MeshChannel) -> OperatorClient<MeshChannel> {
+    OperatorClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES)
+}
--- /dev/null
+++ b/src/control_server/replica.rs
@@ -0,0 +1,267 @@
+//! The thread that owns the replica: it feeds inputs to the core and carries out the resulting actions.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tonic::Status;
+
+use crate::consensus::{PeerMessage, ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaRole};
+use crate::control_state::ControlState;
+use crate::error::Result;
+use crate::generated::{Command, Membership, PlanSet, ReplicaInfo};
+use crate::storage::SnapshotMeta;
+use crate::types::TickTime;
+
+use super::clock::TickClock;
+use super::leader::LeaderTables;
+use super::peers::PeerTable;
+use super::relay::LeaderView;
+use super::replies::ReplyQueue;
+use super::requests::{ProposalReply, ReplicaInput};
+
+const TICK_INTERVAL: Duration = Duration::from_millis(15);
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
+// Inputs handled before one sync; bounds how long an acknowledgement waits for its group.
+const MAX_BATCH: usize = 512;
+const MAX_PENDING: usize = 8_192;
+
+/// Parts that the thread is built from.
+#[derive(Debug)]
+pub(super) struct ReplicaParts {
+    pub(super) core: ReplicaCore,
+    pub(super) state: ControlState,
+    pub(super) clock: TickClock,
+    pub(super) peers: PeerTable,
+    pub(super) view: watch::Sender<LeaderView>,
+    pub(super) metrics: cadence::StatsdClient,
+    pub(super) claim_retention: Duration,
+}
+
+/// State of the thread.
+#[derive(Debug)]
+pub(super) struct ReplicaThread {
+    pub(super) parts: ReplicaParts,
+    pub(super) tables: Option<LeaderTables>,
+    // Term of the last applied entry; a leader answers only after an entry of its own term.
+    pub(super) applied_term: u64,
+    pub(super) plan_set: PlanSet,
+    pub(super) replicas: Vec<String>,
+    pending: BTreeMap<u64, ProposalReply>,
+    next_token: u64,
+    replies: ReplyQueue,
+    next_tick: TickTime,
+    next_housekeeping: TickTime,
+}
+
+impl ReplicaThread {
+    pub(super) fn new(parts: ReplicaParts) -> Self {
+        let plan_set = PlanSet::from(parts.state.plans().as_ref());
+        let now = parts.clock.now();
+        Self {
+            parts,
+            tables: None,
+            applied_term: 0,
+            plan_set,
+            replicas: Vec::new(),
+            pending: BTreeMap::new(),
+            next_token: 0,
+            replies: ReplyQueue::default(),
+            next_tick: now,
+            next_housekeeping: now,
+        }
+    }
+
+    /// Handles inputs until it is told to stop; an error means that the disk can no longer be trusted.
+    pub(super) fn run(&mut self, inputs: &Receiver<ReplicaInput>) -> Result<()> {
+        loop {
+            let wait = self.next_tick.saturating_since(self.now());
+            let mut is_stopping = match inputs.recv_timeout(wait) {
+                Ok(input) => self.handle(input)?,
+                Err(RecvTimeoutError::Timeout) => false,
+                Err(RecvTimeoutError::Disconnected) => true,
+            };
+            for input in inputs.try_iter().take(MAX_BATCH) {
+                is_stopping |= self.handle(input)?;
+            }
+            self.tick()?;
+            let actions = self.parts.core.flush(self.now())?;
+            self.perform(actions)?;
+            self.replies.clear();
+            self.publish_view();
+            if is_stopping {
+                return Ok(());
+            }
+        }
+    }
+
+    pub(super) fn now(&self) -> TickTime {
+        self.parts.clock.now()
+    }
+
+    fn handle(&mut self, input: ReplicaInput) -> Result<bool> {
+        match input {
+            ReplicaInput::Peer {
+                from,
+                message,
+                reply,
+            } => {
+                self.replies.expect(from, &message, reply);
+                self.step(ReplicaEvent::Message { from, message })?;
+            }
+            ReplicaInput::Propose { command, reply } => self.propose(command, reply)?,
+            ReplicaInput::Heartbeat { request, reply } => {
+                let _ = reply.send(self.answer_heartbeat(&request));
+            }
+            ReplicaInput::Show { reply } => {
+                let _ = reply.send(self.answer_show());
+            }
+            ReplicaInput::Status { reply } => {
+                let _ = reply.send(Ok(self.answer_status()));
+            }
+            ReplicaInput::Stop => return Ok(true),
+        }
+        Ok(false)
+    }
+
+    fn step(&mut self, event: ReplicaEvent) -> Result<()> {
+        let actions = self.parts.core.step(self.now(), event)?;
+        self.perform(actions)
+    }
+
+    fn tick(&mut self) -> Result<()> {
+        let now = self.now();
+        if now < self.next_tick {
+            return Ok(());
+        }
+        self.next_tick = now + TICK_INTERVAL;
+        self.step(ReplicaEvent::Tick)?;
+        if now >= self.next_housekeeping {
+            self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
+            self.keep_house(now)?;
+        }
+        Ok(())
+    }
+
+    fn keep_house(&mut self, now: TickTime) -> Result<()> {
+        if let Some(tables) = &mut self.tables {
+            tables.expire(now);
+            self.expire_claims()?;
+        }
+        self.report_metrics();
+        Ok(())
+    }
+
+    pub(super) fn propose(&mut self, command: Command, reply: ProposalReply) -> Result<()> {
+        if self.pending.len() >= MAX_PENDING {
+            reply.fail(Status::unavailable("too many commands wait for the log"));
+            return Ok(());
+        }
+        self.next_token += 1;
+        let token = self.next_token;
+        self.pending.insert(token, reply);
+        self.step(ReplicaEvent::Propose { token, command })
+    }
+
+    fn perform(&mut self, actions: Vec<ReplicaAction>) -> Result<()> {
+        for action in actions {
+            match action {
+                ReplicaAction::Send { to, message } => self.send(to, message),
+                ReplicaAction::Commit {
+                    index,
+                    term,
+                    command,
+                    token,
+                } => self.apply(index, term, &command, token),
+                ReplicaAction::Drop { token } => {
+                    if let Some(reply) = self.pending.remove(&token) {
+                        reply.fail(Status::unavailable(
+                            "the leader changed; the result is not known",
+                        ));
+                    }
+                }
+                ReplicaAction::Restore { meta, data } => self.restore(meta, &data)?,
+                ReplicaAction::WantSnapshot { up_to } => self.snapshot(up_to)?,
+                ReplicaAction::RoleChanged { role, term } => self.change_role(role, term),
+            }
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, to: ReplicaInfo, message: PeerMessage) {
+        if let Some(message) = self.replies.answer(to.replica_id, message) {
+            self.parts.peers.send(to, message);
+        }
+    }
+
+    fn apply(&mut self, index: u64, term: u64, command: &Command, token: Option<u64>) {
+        let version = self.parts.state.plans().version();
+        let result = self.parts.state.apply(index, command);
+        self.applied_term = term;
+        if self.parts.state.plans().version() != version {
+            self.refresh_plans();
+        }
+        let reply = token.and_then(|token| self.pending.remove(&token));
+        if let Some(reply) = reply {
+            self.answer_proposal(reply, result);
+        }
+    }
+
+    fn refresh_plans(&mut self) {
+        let book = self.parts.state.plans();
+        self.plan_set = PlanSet::from(book.as_ref());
+        log::info!(event = "plans-in-force", version = book.version(); "");
+    }
+
+    fn restore(&mut self, meta: SnapshotMeta, data: &[u8]) -> Result<()> {
+        self.parts.state.restore(data)?;
+        self.applied_term = meta.last_term;
+        self.refresh_plans();
+        log::info!(event = "snapshot-restored", last_index = meta.last_index; "");
+        Ok(())
+    }
+
+    fn snapshot(&mut self, up_to: u64) -> Result<()> {
+        let meta = SnapshotMeta {
+            last_index: self.parts.state.last_index(),
+            last_term: self.applied_term,
+        };
+        let data = self.parts.state.snapshot();
+        let (last_index, bytes) = (meta.last_index, data.len());
+        log::info!(event = "snapshot-written", up_to, last_index, bytes; "");
+        self.step(ReplicaEvent::SnapshotReady {
+            meta,
+            data: data.into(),
+        })
+    }
+
+    fn change_role(&mut self, role: ReplicaRole, term: u64) {
+        log::info!(event = "role-changed", role:? = role, term; "");
+        self.tables = match role {
+            ReplicaRole::Leader => Some(LeaderTables::new(term, self.now())),
+            _ => None,
+        };
+    }
+
+    fn publish_view(&mut self) {
+        let leader = self.parts.core.leader();
+        let view = LeaderView {
+            is_own: self.parts.core.role() == ReplicaRole::Leader,
+            leader,
+        };
+        self.parts.view.send_if_modified(|current| {
+            let is_changed = *current != view;
+            if is_changed {
+                *current = view;
+            }
+            is_changed
+        });
+        let Membership { voters, learners } = self.parts.core.membership();
+        let members = voters.iter().chain(learners.iter());
+        let members = members.map(|replica| &replica.address);
+        if !self.replicas.iter().eq(members.clone()) {
+            self.replicas = members.cloned().collect();
+        }
+    }
+}
--- /dev/null
+++ b/src/control_server/replication.rs
@@ -0,0 +1,87 @@
+//! Replication service: hands each message to the replica thread and returns its reply.
+
+use tokio::sync::oneshot;
+use tonic::{Request, Response, Status};
+
+use crate::consensus::PeerMessage;
+use crate::generated::replication_server::Replication;
+use crate::generated::{
+    AppendReply, AppendRequest, JoinReply, JoinRequest, SnapshotChunk, SnapshotReply, VoteReply,
+    VoteRequest,
+};
+
+use super::requests::{InputSender, ReplicaInput};
+
+/// Handlers of the replication service.
+#[derive(Debug, Clone)]
+pub(super) struct ReplicationService {
+    pub(super) inputs: InputSender,
+}
+
+impl ReplicationService {
+    async fn exchange(&self, from: u64, message: PeerMessage) -> Result<PeerMessage, Status> {
+        let (reply, answer) = oneshot::channel();
+        self.inputs.send(ReplicaInput::Peer {
+            from,
+            message,
+            reply: Some(reply),
+        })?;
+        let no_reply = |_| Status::unavailable("the replica gave no reply");
+        answer.await.map_err(no_reply)
+    }
+}
+
+#[tonic::async_trait]
+impl Replication for ReplicationService {
+    async fn vote(&self, request: Request<VoteRequest>) -> Result<Response<VoteReply>, Status> {
+        let request = request.into_inner();
+        let candidate = request.candidate.as_ref();
+        let from = candidate
+            .ok_or_else(|| Status::invalid_argument("the candidate is missing"))?
+            .replica_id;
+        match self.exchange(from, PeerMessage::Vote(request)).await? {
+            PeerMessage::VoteReply(reply, _) => Ok(Response::new(reply)),
+            _ => Err(mismatch()),
+        }
+    }
+
+    async fn append(
+        &self,
+        request: Request<AppendRequest>,
+    ) -> Result<Response<AppendReply>, Status> {
+        let request = request.into_inner();
+        let from = request.leader_id;
+        match self.exchange(from, PeerMessage::Append(request)).await? {
+            PeerMessage::AppendReply(reply) => Ok(Response::new(reply)),
+            _ => Err(mismatch()),
+        }
+    }
+
+    async fn install_snapshot(
+        &self,
+        request: Request<SnapshotChunk>,
+    ) -> Result<Response<SnapshotReply>, Status> {
+        let chunk = request.into_inner();
+        let from = chunk.leader_id;
+        match self.exchange(from, PeerMessage::Snapshot(chunk)).await? {
+            PeerMessage::SnapshotReply(reply) => Ok(Response::new(reply)),
+            _ => Err(mismatch()),
+        }
+    }
+
+    async fn join(&self, request: Request<JoinRequest>) -> Result<Response<JoinReply>, Status> {
+        let request = request.into_inner();
+        let replica = request.replica.as_ref();
+        let from = replica
+            .ok_or_else(|| Status::invalid_argument("the replica is missing"))?
+            .replica_id;
+        match self.exchange(from, PeerMessage::Join(request)).await? {
+            PeerMessage::JoinReply(reply) => Ok(Response::new(reply)),
+            _ => Err(mismatch()),
+        }
+    }
+}
+
+fn mismatch() -> Status {
+    Status::internal("the reply does not belong to the message")
+}
--- /dev/null
+++ b/src/control_server/server.rs
@@ -0,0 +1,209 @@
+//! Assembly of a replica: listener, services and the replica thread.
+
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, sync_channel};
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::task::spawn_blocking;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Status};
+
+use crate::config::{ControlConfig, MeshToken};
+use crate::consensus::{ReplicaCore, ReplicaSettings};
+use crate::control_client::{MAX_MESSAGE_BYTES, MESH_TOKEN_KEY};
+use crate::control_state::ControlState;
+use crate::error::{MeshError, Result};
+use crate::generated::operator_server::OperatorServer;
+use crate::generated::registry_server::RegistryServer;
+use crate::generated::replication_server::ReplicationServer;
+use crate::generated::{Membership, ReplicaInfo};
+use crate::storage::FileStore;
+use crate::telemetry::metrics_client;
+
+use super::clock::TickClock;
+use super::links::LinkTable;
+use super::peers::PeerTable;
+use super::relay::{LeaderView, MeshService};
+use super::replica::{ReplicaParts, ReplicaThread};
+use super::replication::ReplicationService;
+use super::requests::{InputSender, ReplicaInput};
+
+const QUEUED_INPUTS: usize = 16_384;
+// Heartbeats and claims are far smaller; lists and replication use the larger bound.
+const MAX_REGISTRY_BYTES: usize = 1024 * 1024;
+const MAX_STREAMS: u32 = 1_024;
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(10);
+// Leaves time to sync and exit after the calls in progress.
+const DRAIN_PART: f64 = 0.5;
+
+/// Runs a replica until `stop` completes or its disk fails.
+pub(super) async fn run_replica(
+    config: ControlConfig,
+    stop: impl Future<Output = ()>,
+) -> Result<()> {
+    let bind_failed = |source| {
+        MeshError::io(
+            format!("cannot listen on {}", config.control_address),
+            source,
+        )
+    };
+    let listener = TcpListener::bind(config.control_address)
+        .await
+        .map_err(bind_failed)?;
+    let bound = listener.local_addr().map_err(bind_failed)?;
+    let (sender, receiver) = sync_channel(QUEUED_INPUTS);
+    let inputs = InputSender::new(sender);
+    let (view_sender, view) = watch::channel(LeaderView::default());
+    let thread = build_thread(&config, bound, &inputs, view_sender)?;
+    log::info!(event = "listening", address:% = bound, replica_id = config.replica_id; "");
+    let drain = CancellationToken::new();
+    let service = MeshService {
+        inputs: inputs.clone(),
+        view,
+        links: LinkTable::new(&config.mesh_token),
+    };
+    let serving = tokio::spawn(serve(listener, service, config.mesh_token, drain.clone()));
+    let mut running = spawn_blocking(move || run_thread(thread, &receiver));
+    tokio::select! {
+        () = stop => {}
+        result = &mut running => return flatten(result),
+    }
+    log::info!(event = "stopping"; "");
+    drain.cancel();
+    let bound = config.stop_timeout.mul_f64(DRAIN_PART);
+    if timeout(bound, serving).await.is_err() {
+        log::warn!(event = "calls-abandoned", bound_ms = bound.as_millis() as u64; "");
+    }
+    // The thread may have ended already because the disk failed.
+    let _ = inputs.send(ReplicaInput::Stop);
+    let result = flatten(running.await);
+    log::info!(event = "stopped"; "");
+    result
+}
+
+fn run_thread(mut thread: ReplicaThread, inputs: &Receiver<ReplicaInput>) -> Result<()> {
+    thread.run(inputs)
+}
+
+fn flatten(result: std::result::Result<Result<()>, tokio::task::JoinError>) -> Result<()> {
+    result.unwrap_or_else(|error| {
+        let source = std::io::Error::other(error);
+        Err(MeshError::io("the replica thread failed", source))
+    })
+}
+
+fn build_thread(
+    config: &ControlConfig,
+    bound: SocketAddr,
+    inputs: &InputSender,
+    view: watch::Sender<LeaderView>,
+) -> Result<ReplicaThread> {
+    let store = FileStore::open(&config.data_folder)?;
+    let clock = TickClock::start();
+    let own = own_info(config, bound);
+    let settings = ReplicaSettings {
+        snapshot_entries: config.snapshot_entries,
+        bootstrap: config.bootstrap,
+        ..ReplicaSettings::default()
+    };
+    let initial = initial_members(config, &own);
+    let seed = uuid::Uuid::new_v4().as_u128() as u64;
+    let core = ReplicaCore::new(settings, own, Box::new(store), initial, clock.now(), seed)?;
+    let links = LinkTable::new(&config.mesh_token);
+    Ok(ReplicaThread::new(ReplicaParts {
+        core,
+        state: ControlState::new(),
+        clock,
+        peers: PeerTable::new(Handle::current(), links, inputs.clone()),
+        view,
+        metrics: metrics_client("ebonyjunction.control", config.metrics_address)?,
+        claim_retention: config.claim_retention,
+    }))
+}
+
+fn own_info(config: &ControlConfig, bound: SocketAddr) -> ReplicaInfo {
+    let mut address = config.advertise_address;
+    if address.port() == 0 {
+        address.set_port(bound.port());
+    }
+    ReplicaInfo {
+        replica_id: config.replica_id,
+        address: address.to_string(),
+        // The core takes the identity of its disk from the store.
+        ..ReplicaInfo::default()
+    }
+}
+
+fn initial_members(config: &ControlConfig, own: &ReplicaInfo) -> Membership {
+    let peers = config.peers.iter().map(|peer| ReplicaInfo {
+        replica_id: peer.replica_id,
+        address: peer.address.to_string(),
+        ..ReplicaInfo::default()
+    });
+    Membership {
+        voters: peers.chain([own.clone()]).collect(),
+        learners: Vec::new(),
+    }
+}
+
+async fn serve(
+    listener: TcpListener,
+    service: MeshService,
+    token: MeshToken,
+    drain: CancellationToken,
+) {
+    let check = move |request: Request<()>| check_token(&token, request);
+    let replication = ReplicationServer::new(ReplicationService {
+        inputs: service.inputs.clone(),
+    })
+    .max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let registry =
+        RegistryServer::new(service.clone()).max_decoding_message_size(MAX_REGISTRY_BYTES);
+    let operator = OperatorServer::new(service).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let layer = tonic::service::InterceptorLayer::new(check);
+    let result = Server::builder()
+        .max_concurrent_streams(MAX_STREAMS)
+        .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
+        .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
+        .layer(layer)
+        .add_service(replication)
+        .add_service(registry)
+        .add_service(operator)
+        .serve_with_incoming_shutdown(
+            TcpIncoming::from(listener).with_nodelay(Some(true)),
+            drain.cancelled_owned(),
+        )
+        .await;
+    if let Err(error) = result {
+        log::error!(event = "listener-failed", error:% = error; "");
+    }
+}
+
+fn check_token(
+    token: &MeshToken,
+    request: Request<()>,
+) -> std::result::Result<Request<()>, Status> {
+    let sent = request.metadata().get(MESH_TOKEN_KEY);
+    let sent = sent.map_or(&b""[..], |value| value.as_bytes());
+    if is_equal(sent, token.as_str().as_bytes()) {
+        Ok(request)
+    } else {
+        Err(Status::unauthenticated(
+            "the mesh token is missing or wrong",
+        ))
+    }
+}
+
+/// Compares in a time that does not depend on the content.
+fn is_equal(left: &[u8], right: &[u8]) -> bool {
+    let pairs = left.iter().zip(right);
+    let difference = pairs.fold(0, |seen, (left, right)| seen | (left ^ right));
+    left.len() == right.len() && difference == 0
+}
