--- a/src/bin/ebonyjunction-stand-in/announce.rs
+++ b/src/bin/ebonyjunction-stand-in/announce.rs
@@ -34,7 +34,11 @@
             log::info!("event=announced accepted={is_accepted}");
         }
         is_announced = is_accepted;
-        let pause = if is_accepted { ANNOUNCE_PERIOD } else { RETRY_PERIOD };
+        let pause = if is_accepted {
+            ANNOUNCE_PERIOD
+        } else {
+            RETRY_PERIOD
+        };
         sleep(pause).await;
     }
 }
--- a/src/bin/ebonyjunction-stand-in/behaviour.rs
+++ b/src/bin/ebonyjunction-stand-in/behaviour.rs
@@ -62,10 +62,7 @@
     calls: Option<Vec<CallPath>>,
 }
 
-#[expect(
-    clippy::option_option,
-    reason = "an absent field differs from null"
-)]
+#[expect(clippy::option_option, reason = "an absent field differs from null")]
 fn present<'de, D>(deserializer: D) -> std::result::Result<Option<Option<CutMode>>, D::Error>
 where
     D: serde::Deserializer<'de>,
--- a/src/bin/ebonyjunction-stand-in/serving.rs
+++ b/src/bin/ebonyjunction-stand-in/serving.rs
@@ -187,7 +187,10 @@
     let mut behaviour = lock(&stand_in.behaviour).clone();
     BehaviourChange::from_query(parts.uri.query().unwrap_or_default()).apply(&mut behaviour);
     let Some((body_bytes, digest)) = read_upload(body).await else {
-        return json_response(StatusCode::BAD_REQUEST, &json!({"error": "incomplete body"}));
+        return json_response(
+            StatusCode::BAD_REQUEST,
+            &json!({"error": "incomplete body"}),
+        );
     };
     {
         let _slot = stand_in.slots.acquire().await;
@@ -232,11 +235,7 @@
     Some((length, text))
 }
 
-async fn call_services(
-    stand_in: &StandIn,
-    calls: &[CallPath],
-    headers: &HeaderMap,
-) -> Vec<Value> {
+async fn call_services(stand_in: &StandIn, calls: &[CallPath], headers: &HeaderMap) -> Vec<Value> {
     let mut results = Vec::new();
     for path in calls {
         let result = call_service(stand_in, path, headers).await;
@@ -283,7 +282,11 @@
     }
 }
 
-fn build_answer(behaviour: &Behaviour, status: StatusCode, summary: &Value) -> Response<StandInBody> {
+fn build_answer(
+    behaviour: &Behaviour,
+    status: StatusCode,
+    summary: &Value,
+) -> Response<StandInBody> {
     if behaviour.answer_bytes == 0 && behaviour.cut.is_none() {
         return json_response(status, summary);
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,10 +9,10 @@
 mod state;
 mod target;
 
-pub use run::run_node;
 pub(crate) use kept_answers::{AnswerScope, KeptAnswer};
 pub(crate) use lifecycle::{LifecycleEvent, NodePhase};
 pub(crate) use plan_view::PlanView;
+pub use run::run_node;
 pub use state::NodeState;
 pub(crate) use state::{RetryState, lock};
 pub(crate) use target::{Announcement, StartSignal};
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -136,7 +136,11 @@
     if lock(&state.plans).confirm(reply.plan_version, confirmed_at) {
         state.advance(LifecycleEvent::PlansArrived);
     }
-    let shares: Vec<_> = reply.shares.iter().filter_map(|share| share.try_into().ok()).collect();
+    let shares: Vec<_> = reply
+        .shares
+        .iter()
+        .filter_map(|share| share.try_into().ok())
+        .collect();
     lock(&state.shares).update(sent_at, now, &shares);
     state.rate_granted.notify_waiters();
     if let Some(delta) = reply.directory {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -31,7 +31,10 @@
     let local = bind(config.local_address, ListenerKind::Local).await?;
     let mesh_address = advertised_address(&config, &mesh)?;
     let state = Arc::new(NodeState::new(config, mesh_address)?);
-    log::info!("event=started node={} mesh_address={mesh_address}", state.node_id);
+    log::info!(
+        "event=started node={} mesh_address={mesh_address}",
+        state.node_id
+    );
     let heartbeats = tokio::spawn(run_heartbeats(Arc::clone(&state)));
     let ticks = tokio::spawn(run_ticks(Arc::clone(&state)));
     let probes = tokio::spawn(run_probes(Arc::clone(&state)));
@@ -88,7 +91,9 @@
     let drained = timeout_at(deadline, wait_for_work(state)).await.is_ok();
     state.closing.cancel();
     state.tasks.close();
-    let closed = timeout_at(started + bound, state.tasks.wait()).await.is_ok();
+    let closed = timeout_at(started + bound, state.tasks.wait())
+        .await
+        .is_ok();
     state.advance(LifecycleEvent::WorkEnded);
     let left = lock(&state.attempts).len();
     log::info!("event=stopped drained={drained} closed={closed} attempts_left={left}");
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -1,8 +1,8 @@
 //! State that the tasks of one node share.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use cadence::{CountedExt, StatsdClient, Timed};
--- a/src/node/target.rs
+++ b/src/node/target.rs
@@ -100,8 +100,7 @@
             && target.announcement.service == announcement.service
             && target.announcement.address == announcement.address
         {
-            let is_same =
-                target.announcement == announcement && target.state == TargetState::Ready;
+            let is_same = target.announcement == announcement && target.state == TargetState::Ready;
             target.admission.set_slots(announcement.slots);
             target.announcement = announcement;
             target.state = TargetState::Ready;
--- a/src/proxy/claim.rs
+++ b/src/proxy/claim.rs
@@ -45,7 +45,10 @@
         relayed: false,
     };
     let time_left = context.deadline.saturating_since(state.now());
-    let reply = state.control.claim(request, time_left.min(CLAIM_BOUND)).await;
+    let reply = state
+        .control
+        .claim(request, time_left.min(CLAIM_BOUND))
+        .await;
     let (decision, detail) = match reply {
         Ok(reply) => (reply.decision(), String::new()),
         Err(error) => (ClaimDecision::Unspecified, error.to_string()),
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -19,9 +19,7 @@
 use super::body::ProxyBody;
 use super::entry_memory::EntryRequest;
 use super::hand_over::plan_stale;
-use super::headers::{
-    IDEMPOTENCY_KEY, REQUEST_ID, TIMEOUT_MS, number, optional, set, set_outcome,
-};
+use super::headers::{IDEMPOTENCY_KEY, REQUEST_ID, TIMEOUT_MS, number, optional, set, set_outcome};
 use super::hop::{ServiceCall, forward};
 use super::inbound::OutboundCall;
 use super::{HopAnswer, Refusal, ServicePath};
@@ -50,7 +48,10 @@
             ("outcome", &answer.report.outcome),
             ("reason", &reason.map_or("", |reason| reason.as_str())),
             ("status", &answer.response.status().as_u16()),
-            ("span_ms", &state.now().saturating_since(started_at).as_millis()),
+            (
+                "span_ms",
+                &state.now().saturating_since(started_at).as_millis(),
+            ),
         ],
     );
     state.time("answered", started_at);
--- a/src/proxy/entry_memory.rs
+++ b/src/proxy/entry_memory.rs
@@ -65,7 +65,9 @@
         allowance: &SharedAllowance,
     ) -> Option<Self> {
         let now = state.now();
-        let decision = lock(&state.entries).resends.begin(now, caller, id, attempts);
+        let decision = lock(&state.entries)
+            .resends
+            .begin(now, caller, id, attempts);
         let remaining = match decision {
             ResendDecision::First => attempts,
             ResendDecision::Resend { remaining } => remaining,
@@ -92,7 +94,9 @@
         let now = self.state.now();
         let remaining = lock(&self.allowance).remaining();
         let mut entries = lock(&self.state.entries);
-        entries.resends.finish(now, &self.caller, self.id, remaining);
+        entries
+            .resends
+            .finish(now, &self.caller, self.id, remaining);
         if self.outcome != AttemptOutcome::NotRun {
             entries.note_uncertain(now, self.id);
         }
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -3,15 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, StatusCode};
 use http::header::RETRY_AFTER;
+use http::{Request, StatusCode};
 use tokio::time::{sleep, timeout};
 
 use crate::node::{NodeState, RetryState, lock};
 use crate::retry::{AttemptReport, RetryDecision};
-use crate::routing::{
-    LoadReport, RouteChoice, RouteDecision, RouteRequest, SendResult, TargetKey,
-};
+use crate::routing::{LoadReport, RouteChoice, RouteDecision, RouteRequest, SendResult, TargetKey};
 use crate::types::{AttemptContext, AttemptId, AttemptOutcome, RefusalReason, TickTime};
 
 use super::attempts::SharedAllowance;
@@ -327,9 +325,8 @@
 ) -> HopAnswer {
     let request_id = call.context.request_id;
     let Some(last) = progress.last else {
-        let refusal = refusal.unwrap_or_else(|| {
-            Refusal::not_run(RefusalReason::NoTarget, "no attempt was made")
-        });
+        let refusal = refusal
+            .unwrap_or_else(|| Refusal::not_run(RefusalReason::NoTarget, "no attempt was made"));
         return refusal.into_answer(request_id, 0);
     };
     let Some(reason) = last.report.reason else {
@@ -347,7 +344,10 @@
     state.count("retries_spent");
     let retry_after = last.response.headers().get(RETRY_AFTER);
     let seconds = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
-    let detail = format!("{} attempts were made, the last: {reason}", progress.attempts);
+    let detail = format!(
+        "{} attempts were made, the last: {reason}",
+        progress.attempts
+    );
     let refusal = Refusal {
         outcome,
         retry_after: seconds.map(Duration::from_secs),
--- a/src/proxy/local.rs
+++ b/src/proxy/local.rs
@@ -14,8 +14,7 @@
 use crate::plans::GrantEntry;
 use crate::retry::AttemptAllowance;
 use crate::types::{
-    AttemptContext, AttemptId, CallerName, PriorityClass, RefusalReason, RequestId,
-    RequestPriority,
+    AttemptContext, AttemptId, CallerName, PriorityClass, RefusalReason, RequestId, RequestPriority,
 };
 
 use super::answer::json_response;
@@ -42,9 +41,9 @@
     }
     state.count("child_calls");
     let parent = find_parent(state, &request);
-    let request_id = parent.as_ref().map_or_else(RequestId::random, |parent| {
-        parent.context.request_id
-    });
+    let request_id = parent
+        .as_ref()
+        .map_or_else(RequestId::random, |parent| parent.context.request_id);
     let answer = match prepare(state, request, request_id, parent).await {
         Ok((call, token)) => {
             let call_service = call.context.service.clone();
@@ -107,7 +106,14 @@
     let path = ServicePath::parse(request.uri()).map_err(bad_request)?;
     let grant = find_grant(&book, caller, &path)?;
     let timeout = entry_timeout(request.headers(), grant)?;
-    let mut context = child_context(state, &caller.name, &path, grant, request_id, parent.as_ref());
+    let mut context = child_context(
+        state,
+        &caller.name,
+        &path,
+        grant,
+        request_id,
+        parent.as_ref(),
+    );
     context.deadline = context.deadline.min(state.now() + timeout);
     context.claim_key = claim_key(request.headers(), grant)?;
     if let Some(parent) = &parent {
--- a/src/proxy/mesh.rs
+++ b/src/proxy/mesh.rs
@@ -10,16 +10,16 @@
 use crate::node::{NodeState, lock};
 use crate::types::{AttemptId, AttemptOutcome, NodeId, RefusalReason, RequestId};
 
+use super::answer::json_response;
 use super::attempts::CancelVerdict;
 use super::body::ProxyBody;
 use super::cancel::ATTEMPTS_PATH;
 use super::hand_over::{load_report, serve};
 use super::headers::{
-    AGE_MS, ATTEMPT_ID, CallPlace, MESH_TOKEN, NODE_ID, REQUEST_ID, decode_context,
-    encode_report, number, required, set, set_outcome,
+    AGE_MS, ATTEMPT_ID, CallPlace, MESH_TOKEN, NODE_ID, REQUEST_ID, decode_context, encode_report,
+    number, required, set, set_outcome,
 };
 use super::inbound::OutboundCall;
-use super::answer::json_response;
 use super::{AnswerReport, HopAnswer, Refusal, ServicePath};
 
 const DECISIONS_PATH: &str = "/ebonyjunction/v1/decisions/";
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -62,7 +62,10 @@
                 state.tasks.spawn(connection);
             }
             Err(error) => {
-                log::warn!("event=accept_failed listener={} error={error:?}", kind.as_str());
+                log::warn!(
+                    "event=accept_failed listener={} error={error:?}",
+                    kind.as_str()
+                );
                 sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -71,7 +74,10 @@
 
 async fn serve_connection(state: Arc<NodeState>, stream: TcpStream, kind: ListenerKind) {
     if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("event=nodelay_failed listener={} error={error:?}", kind.as_str());
+        log::debug!(
+            "event=nodelay_failed listener={} error={error:?}",
+            kind.as_str()
+        );
     }
     let closing = state.closing.clone();
     let service = service_fn(move |request| answer(Arc::clone(&state), request, kind));
@@ -91,7 +97,10 @@
         }
     };
     if let Err(error) = result {
-        log::debug!("event=connection_failed listener={} error={error:?}", kind.as_str());
+        log::debug!(
+            "event=connection_failed listener={} error={error:?}",
+            kind.as_str()
+        );
     }
 }
 
