Never shed important work while less important work runs

Cause: the level entered the range of critical work within 0.3 s of a slowdown, while reads that started before it still ran; the queue did the same when it filled with critical work. The level is now capped at the class above the lowest that runs or waits, and a class above one that runs may fill the queue up to its limit in number.

--- a/src/admission/control.rs
+++ b/src/admission/control.rs
@@ -127,8 +127,8 @@
         self.refuse_hopeless(now, &mut actions);
         self.limit.evaluate(now);
         self.sample_level();
-        self.level.update(now, self.settings.level_period);
-        self.refuse_shut_classes(&mut actions);
+        let cap = self.level_cap();
+        self.level.update(now, self.settings.level_period, cap);
         self.start_ready(now, &mut actions);
         actions
     }
@@ -260,8 +260,13 @@
             return Err(RefusalReason::AdmissionLevel);
         }
         let is_shut_out = request.priority < level;
-        let bound = if is_shut_out { 0 } else { self.queue_bound() };
-        if self.queue.len() < bound + self.running.count_below(rank.class()) {
+        let lower_running = self.running.count_below(rank.class());
+        let bound = match (lower_running, is_shut_out) {
+            (1.., _) => self.settings.queue_limit,
+            (0, true) => 0,
+            (0, false) => self.queue_bound(),
+        };
+        if self.queue.len() < bound + lower_running {
             return Ok(());
         }
         let can_displace = self
@@ -344,20 +349,17 @@
         }
     }
 
-    /// Refuses queued work of classes that the level shuts out as a whole, so that it does not start while the level
-    /// refuses a part of a higher class.
-    fn refuse_shut_classes(&mut self, actions: &mut Vec<WorkAction>) {
-        let class = self.level.get().class();
-        while self
-            .queue
-            .lowest()
-            .is_some_and(|lowest| lowest.class() < class)
-        {
-            let Some(key) = self.queue.pop_lowest() else {
-                return;
-            };
-            actions.push(self.refuse(key, RefusalReason::AdmissionLevel));
-        }
+    /// Returns the highest level that shuts out no part of a class while lower classes run or wait.
+    fn level_cap(&self) -> RequestPriority {
+        let waiting = self.queue.lowest().map(QueueRank::class);
+        let lowest = waiting.into_iter().chain(self.running.lowest_class()).min();
+        let above = PriorityClass::ALL
+            .into_iter()
+            .find(|class| lowest.is_some_and(|lowest| *class > lowest));
+        above.map_or(
+            RequestPriority::from_raw(u16::MAX),
+            RequestPriority::lowest_of,
+        )
     }
 
     fn measure(
--- a/src/admission/level.rs
+++ b/src/admission/level.rs
@@ -63,8 +63,13 @@
         self.window.samples += 1;
     }
 
-    /// Moves the level once a window has passed.
-    pub(super) fn update(&mut self, now: TickTime, period: Duration) {
+    /// Moves the level once a window has passed, and keeps it within the cap.
+    pub(super) fn update(&mut self, now: TickTime, period: Duration, cap: RequestPriority) {
+        self.end_window(now, period);
+        self.level = self.level.min(cap);
+    }
+
+    fn end_window(&mut self, now: TickTime, period: Duration) {
         let elapsed = now - self.window_start;
         if elapsed < period || self.window.samples == 0 {
             return;
--- a/src/admission/running.rs
+++ b/src/admission/running.rs
@@ -32,6 +32,13 @@
         self.by_class[..class.index()].iter().sum()
     }
 
+    /// Returns the lowest class of running work.
+    pub(super) fn lowest_class(&self) -> Option<PriorityClass> {
+        PriorityClass::ALL
+            .into_iter()
+            .find(|class| self.by_class[class.index()] > 0)
+    }
+
     /// Returns the mean time that running work has spent in its slot so far.
     pub(super) fn mean_age(&self, now: TickTime) -> Duration {
         let count = self.len();
--- a/src/types/priority.rs
+++ b/src/types/priority.rs
@@ -73,6 +73,11 @@
         Self(((class as u16) << CLASS_SHIFT) | hash)
     }
 
+    /// Returns the lowest priority of a class.
+    pub const fn lowest_of(class: PriorityClass) -> Self {
+        Self((class as u16) << CLASS_SHIFT)
+    }
+
     /// Wraps a value received from another node.
     pub const fn from_raw(raw: u16) -> Self {
         Self(raw)
