Let the queue hold one service time of work

Cause: half a service time is too short for ten slots at 60% load; work was refused there without any overload. The queue counts as full at one service time, the level rises at half of it, both at least 100 ms and 20 ms.

--- a/src/admission/settings.rs
+++ b/src/admission/settings.rs
@@ -5,8 +5,8 @@
 const DEFAULT_QUEUE_LIMIT: usize = 256;
 const DEFAULT_MAX_WAIT: Duration = Duration::from_millis(100);
 const DEFAULT_WAIT_BOUND: Duration = Duration::from_millis(20);
-const DEFAULT_WAIT_SHARE: f64 = 0.25;
-const DEFAULT_MAX_WAIT_SHARE: f64 = 0.5;
+const DEFAULT_WAIT_SHARE: f64 = 0.5;
+const DEFAULT_MAX_WAIT_SHARE: f64 = 1.0;
 const DEFAULT_LEVEL_PERIOD: Duration = Duration::from_millis(100);
 
 /// Settings of [`super::AdmissionControl`].
