Open the level of an idle target and test admission and retry

An idle window no longer lowers the known capacity, and the demand assumed below the level fades within a second while at least half of the slots are free.

--- a/src/admission/level.rs
+++ b/src/admission/level.rs
@@ -6,14 +6,14 @@
 
 use super::priority_histogram::PriorityHistogram;
 
-/// Weight of the newest window in the rate of finished work.
+/// Weight of the newest window in the capacity.
 const RATE_WEIGHT: f64 = 0.3;
 /// Change of the admitted rate for a wait that differs from its bound by the bound itself.
 const WAIT_GAIN: f64 = 0.1;
 /// Largest reduction below the capacity of the target, to drain a backlog.
 const MAX_DRAIN: f64 = 0.3;
-/// Largest factor by which free slots raise the estimate of capacity in one window.
-const MAX_OPENING: f64 = 2.0;
+/// Utilisation below which a target has room for much more work than it gets.
+const IDLE_UTILISATION: f64 = 0.5;
 
 #[derive(Debug, Default)]
 struct WindowSums {
@@ -28,7 +28,7 @@
 pub(super) struct LevelControl {
     level: RequestPriority,
     histogram: PriorityHistogram,
-    finish_rate: f64,
+    capacity: f64,
     window: WindowSums,
     window_start: TickTime,
 }
@@ -38,7 +38,7 @@
         Self {
             level: RequestPriority::from_raw(0),
             histogram: PriorityHistogram::default(),
-            finish_rate: 0.0,
+            capacity: 0.0,
             window: WindowSums::default(),
             window_start: TickTime::default(),
         }
@@ -77,19 +77,28 @@
         let window = std::mem::take(&mut self.window);
         self.window_start = now;
         let window_s = elapsed.as_secs_f64().max(f64::MIN_POSITIVE);
-        let finished = f64::from(window.finished) / window_s;
-        self.finish_rate += (finished - self.finish_rate) * RATE_WEIGHT;
-        self.histogram.end_window(window_s, self.level);
         let samples = f64::from(window.samples);
-        self.move_level(window.wait_ratio / samples, window.utilisation / samples);
+        let utilisation = window.utilisation / samples;
+        self.update_capacity(f64::from(window.finished) / window_s, utilisation);
+        let has_room = utilisation < IDLE_UTILISATION;
+        self.histogram.end_window(window_s, self.level, has_room);
+        self.move_level(window.wait_ratio / samples);
+    }
+
+    /// Scales the rate of finished work to full use of the slots. A window with few busy slots can show a higher
+    /// capacity than known, but not a lower one.
+    fn update_capacity(&mut self, finished: f64, utilisation: f64) {
+        let seen = finished / utilisation.clamp(IDLE_UTILISATION, 1.0);
+        if utilisation >= IDLE_UTILISATION || seen > self.capacity {
+            self.capacity += (seen - self.capacity) * RATE_WEIGHT;
+        }
     }
 
     /// Raises the level while the wait exceeds its bound and lowers it otherwise, to where the histogram promises as
     /// much work as the target can carry, less or more by the distance of the wait from its bound.
-    fn move_level(&mut self, wait_ratio: f64, utilisation: f64) {
-        let busy = utilisation.clamp(1.0 / MAX_OPENING, 1.0);
+    fn move_level(&mut self, wait_ratio: f64) {
         let correction = (WAIT_GAIN * (1.0 - wait_ratio)).max(-MAX_DRAIN);
-        let wanted = self.finish_rate / busy * (1.0 + correction);
+        let wanted = self.capacity * (1.0 + correction);
         let level = self.histogram.level_for(wanted);
         self.level = if wait_ratio > 1.0 {
             self.level.max(level)
--- a/src/admission/priority_histogram.rs
+++ b/src/admission/priority_histogram.rs
@@ -9,6 +9,8 @@
 /// Factor per window for bins below the level. Callers that have learnt the level hold this work back, so a low count
 /// there does not show a low demand, and the last known rate fades only slowly.
 const HIDDEN_FADE: f64 = 0.99;
+/// The same factor while the target has room: the work below the level is then gone, or may come back.
+const HIDDEN_FADE_WITH_ROOM: f64 = 0.6;
 
 /// Smoothed rate of offers in each part of the priority range.
 #[derive(Debug)]
@@ -33,13 +35,18 @@
     }
 
     /// Ends a window of the given length.
-    pub(super) fn end_window(&mut self, window_s: f64, level: RequestPriority) {
+    pub(super) fn end_window(&mut self, window_s: f64, level: RequestPriority, has_room: bool) {
+        let fade = if has_room {
+            HIDDEN_FADE_WITH_ROOM
+        } else {
+            HIDDEN_FADE
+        };
         let level_bin = (u32::from(level.as_raw()) / BIN_WIDTH) as usize;
         for (bin, (count, rate)) in self.counts.iter_mut().zip(&mut self.rates).enumerate() {
             let seen = f64::from(*count) / window_s;
             let blended = *rate + (seen - *rate) * VISIBLE_WEIGHT;
             *rate = if bin < level_bin {
-                blended.max(*rate * HIDDEN_FADE)
+                blended.max(*rate * fade)
             } else {
                 blended
             };
--- /dev/null
+++ b/tests/retry.rs
@@ -0,0 +1,306 @@
+//! Bounds on attempts hold for any chain, any loss and any order of events.
+
+use std::time::Duration;
+
+use ebonyjunction::retry::{
+    AttemptAllowance, AttemptReport, CancelTable, ResendDecision, ResendTable, RetryBudget,
+    RetryDecision, RetryPolicy, RetrySettings,
+};
+use ebonyjunction::types::{
+    AttemptId, AttemptOutcome, CallerName, RefusalReason, RequestId, TickTime,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const MAX_DEPTH: u8 = 10;
+
+fn config(seed: u64) -> Config {
+    Config {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn at(millis: u64) -> TickTime {
+    TickTime::from_millis(millis)
+}
+
+/// Runs one hop that calls others, some of them at the same time, and returns the sends below it and what it left.
+fn run_hop(attempts: u8, depth: u8, rng: &mut SmallRng) -> (u32, u8) {
+    let mut allowance = AttemptAllowance::new(attempts);
+    let mut sends = 0;
+    if depth == MAX_DEPTH {
+        return (0, allowance.remaining());
+    }
+    for _ in 0..rng.random_range(0..4) {
+        let mut unspent = Vec::new();
+        for _ in 0..rng.random_range(1..4) {
+            let Some(share) = allowance.spend() else {
+                break;
+            };
+            sends += 1;
+            let is_request_lost = rng.random_bool(0.2);
+            if !is_request_lost {
+                let (below, left) = run_hop(share, depth + 1, rng);
+                sends += below;
+                let is_answer_lost = rng.random_bool(0.2);
+                unspent.extend((!is_answer_lost).then_some(left));
+            }
+        }
+        for left in unspent {
+            allowance.give_back(left);
+        }
+    }
+    (sends, allowance.remaining())
+}
+
+proptest! {
+    #![proptest_config(config(11))]
+
+    // Guards against a chain whose retries multiply at every hop: sends must never exceed the first allowance.
+    #[test]
+    fn allowance_any_call_tree(attempts in any::<u8>(), seed in any::<u64>()) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let (sends, left) = run_hop(attempts, 0, &mut rng);
+        prop_assert!(sends + u32::from(left) <= u32::from(attempts), "{sends} sends, {left} left");
+    }
+
+    // Guards against give-backs that create attempts, whatever children claim to have left.
+    #[test]
+    fn allowance_false_give_back(attempts in any::<u8>(), claims in prop::collection::vec(any::<u8>(), 0..40)) {
+        let mut allowance = AttemptAllowance::new(attempts);
+        let mut sends = 0_u32;
+        for claim in claims {
+            sends += u32::from(allowance.spend().is_some());
+            allowance.give_back(claim);
+            prop_assert!(sends + u32::from(allowance.remaining()) <= u32::from(attempts));
+        }
+    }
+
+    // Guards against retries that exceed a tenth of first attempts plus one per second in any two seconds.
+    #[test]
+    fn budget_ratio(gaps in prop::collection::vec((0_u64..60, any::<bool>()), 1..400)) {
+        let mut budget = RetryBudget::new(RetrySettings::default());
+        let (mut now, mut firsts, mut retries) = (0, Vec::new(), Vec::new());
+        for (gap, is_first) in gaps {
+            now += gap;
+            if is_first {
+                budget.record_first(at(now));
+                firsts.push(now);
+            } else if budget.try_retry(at(now)) {
+                retries.push(now);
+                let recent = |times: &[u64]| times.iter().filter(|&&time| time + 1_800 > now).count();
+                // Buckets of 200 ms blur the edge of the window.
+                let counted_firsts = firsts.iter().filter(|&&time| time + 2_000 > now).count();
+                prop_assert!(recent(&retries) as f64 <= 0.1 * counted_firsts as f64 + 2.0);
+            }
+        }
+    }
+}
+
+// Guards against a share that differs from the rule on the design page.
+#[test]
+fn allowance_shares() {
+    let mut allowance = AttemptAllowance::new(32);
+    assert_eq!(allowance.spend(), Some(24));
+    assert_eq!(allowance.remaining(), 7);
+    allowance.give_back(24);
+    assert_eq!(allowance.remaining(), 31);
+    let mut last = AttemptAllowance::new(1);
+    assert_eq!((last.spend(), last.spend()), (Some(0), None));
+}
+
+// Guards against a hop with little traffic that can never retry, and against one that saves up retries for a burst.
+#[test]
+fn budget_minimum() {
+    let mut budget = RetryBudget::new(RetrySettings::default());
+    let late = at(3_600_000);
+    let granted = (0..50).filter(|_| budget.try_retry(late)).count();
+    assert_eq!(granted, 2, "one per second over a window of two seconds");
+    assert!(!budget.try_retry(at(3_601_900)));
+    assert!(budget.try_retry(at(3_602_000)));
+}
+
+fn report() -> AttemptReport {
+    AttemptReport {
+        outcome: AttemptOutcome::NotRun,
+        reason: Some(RefusalReason::QueueFull),
+        is_at_most_once: true,
+        is_idempotent: false,
+        is_replayable: true,
+        attempt_number: 1,
+        time_left: Duration::from_secs(1),
+    }
+}
+
+fn is_retried(report: &AttemptReport, allowance: &AttemptAllowance) -> bool {
+    let mut policy = RetryPolicy::new(RetrySettings::default());
+    let mut budget = RetryBudget::new(RetrySettings::default());
+    let mut rng = SmallRng::seed_from_u64(5);
+    let decision = policy.decide(at(0), &mut budget, allowance, report, &mut rng);
+    matches!(decision, RetryDecision::Retry { backoff } if backoff < report.time_left)
+}
+
+// Guards against repeating work that may have run, and against retries beyond any of the bounds.
+#[test]
+fn decide_conditions() {
+    let allowance = AttemptAllowance::new(8);
+    let unknown = AttemptReport {
+        outcome: AttemptOutcome::Unknown,
+        reason: Some(RefusalReason::AnswerLost),
+        ..report()
+    };
+    let cases = [
+        (report(), true),
+        (unknown, false),
+        (
+            AttemptReport {
+                is_idempotent: true,
+                ..unknown
+            },
+            false,
+        ),
+        (
+            AttemptReport {
+                is_at_most_once: false,
+                ..unknown
+            },
+            false,
+        ),
+        (
+            AttemptReport {
+                is_at_most_once: false,
+                is_idempotent: true,
+                ..unknown
+            },
+            true,
+        ),
+        (
+            AttemptReport {
+                outcome: AttemptOutcome::Ran,
+                ..report()
+            },
+            false,
+        ),
+        (
+            AttemptReport {
+                is_replayable: false,
+                ..report()
+            },
+            false,
+        ),
+        (
+            AttemptReport {
+                attempt_number: 2,
+                ..report()
+            },
+            true,
+        ),
+        (
+            AttemptReport {
+                attempt_number: 3,
+                ..report()
+            },
+            false,
+        ),
+        (
+            AttemptReport {
+                time_left: Duration::from_millis(1),
+                ..report()
+            },
+            false,
+        ),
+        (
+            AttemptReport {
+                reason: Some(RefusalReason::RetriesSpent),
+                ..report()
+            },
+            false,
+        ),
+        (
+            AttemptReport {
+                reason: Some(RefusalReason::NotGranted),
+                ..report()
+            },
+            false,
+        ),
+        (
+            AttemptReport {
+                reason: None,
+                ..report()
+            },
+            true,
+        ),
+    ];
+    for (case, expected) in cases {
+        assert_eq!(is_retried(&case, &allowance), expected, "{case:?}");
+    }
+    assert!(!is_retried(&report(), &AttemptAllowance::new(0)));
+}
+
+// Guards against retries that ignore the budget: with all first attempts failing, a tenth may be sent again.
+#[test]
+fn decide_counts_budget() {
+    let mut policy = RetryPolicy::new(RetrySettings::default());
+    let mut budget = RetryBudget::new(RetrySettings::default());
+    let mut rng = SmallRng::seed_from_u64(9);
+    let allowance = AttemptAllowance::new(8);
+    let mut retries = 0;
+    for millis in 0..1_000 {
+        budget.record_first(at(millis));
+        let decision = policy.decide(at(millis), &mut budget, &allowance, &report(), &mut rng);
+        retries += u32::from(decision != RetryDecision::Stop);
+    }
+    assert_eq!(retries, 102);
+    assert_eq!(policy.suppressed(), 1_000 - 102);
+}
+
+// Guards against a resend that gets a fresh allowance, runs beside the first request, or is refused for ever.
+#[test]
+fn resend_gets_the_rest() {
+    let mut table = ResendTable::new();
+    let caller = CallerName::try_from("reseller").unwrap();
+    let other = CallerName::try_from("other").unwrap();
+    let id = RequestId::from_uuid(uuid::Uuid::from_u128(7));
+    assert_eq!(table.begin(at(0), &caller, id, 32), ResendDecision::First);
+    assert_eq!(
+        table.begin(at(1), &caller, id, 32),
+        ResendDecision::InFlight
+    );
+    assert_eq!(table.begin(at(1), &other, id, 32), ResendDecision::First);
+    table.finish(at(100), &caller, id, 20);
+    let resend = table.begin(at(59_000), &caller, id, 32);
+    assert_eq!(resend, ResendDecision::Resend { remaining: 20 });
+    // The first record expires while the resend runs; the resend must stay known.
+    table.expire(at(70_000));
+    assert_eq!(
+        table.begin(at(70_000), &caller, id, 32),
+        ResendDecision::InFlight
+    );
+    table.finish(at(80_000), &caller, id, 25);
+    let again = table.begin(at(139_000), &caller, id, 32);
+    assert_eq!(again, ResendDecision::Resend { remaining: 20 });
+    table.finish(at(139_000), &caller, id, 3);
+    assert_eq!(
+        table.begin(at(199_000), &caller, id, 32),
+        ResendDecision::First
+    );
+}
+
+// Guards against running a late copy of a cancelled attempt, and against a table that grows without bound.
+#[test]
+fn cancelled_attempt_is_remembered() {
+    let mut table = CancelTable::new();
+    let id = AttemptId::from_uuid(uuid::Uuid::from_u128(3));
+    assert!(!table.is_cancelled(id));
+    table.cancel(at(0), id);
+    table.cancel(at(30_000), id);
+    table.expire(at(59_999));
+    assert!(table.is_cancelled(id));
+    table.expire(at(60_000));
+    assert!(!table.is_cancelled(id));
+}
