Cut the limit on failures from the number in flight

Cause: a target that fails work above a number of its own frees those slots at once, so the limit was never reached, no trial began, and critical work failed as often as reads.

--- a/examples/admission_policy/scenario.rs
+++ b/examples/admission_policy/scenario.rs
@@ -16,6 +16,8 @@
     Shared(f64),
     /// As `Shared`, and the total speed falls with the square root of the excess.
     Thrashing(f64),
+    /// Every request runs at full speed, and requests above this number fail at once.
+    Failing(usize),
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -80,6 +82,11 @@
         service_s: 0.02,
         ..SURGE
     },
+    Scenario {
+        name: "surge_failing",
+        model: TargetModel::Failing(12),
+        ..SURGE
+    },
     Scenario {
         name: "surge_flood",
         demand_factor: 6.0,
@@ -130,13 +137,14 @@
         let parallel = match self.model {
             TargetModel::Independent => f64::from(self.slots),
             TargetModel::Shared(cores) | TargetModel::Thrashing(cores) => cores,
+            TargetModel::Failing(most) => most as f64,
         };
         parallel / self.service_s
     }
 
     pub(crate) fn speed(&self, now: f64, running: usize) -> f64 {
         let shared = match self.model {
-            TargetModel::Independent => 1.0,
+            TargetModel::Independent | TargetModel::Failing(_) => 1.0,
             TargetModel::Shared(cores) => (cores / running.max(1) as f64).min(1.0),
             TargetModel::Thrashing(cores) => (cores / running.max(1) as f64).min(1.0).powf(1.5),
         };
@@ -153,6 +161,11 @@
         shared * slowed * warm
     }
 
+    /// Returns whether work that starts now fails at once.
+    pub(crate) fn fails(&self, working: usize) -> bool {
+        matches!(self.model, TargetModel::Failing(most) if working >= most)
+    }
+
     pub(crate) fn arrivals(&self, seed: u64) -> Vec<Arrival> {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut arrivals = Vec::new();
--- a/examples/admission_policy/simulation.rs
+++ b/examples/admission_policy/simulation.rs
@@ -6,6 +6,8 @@
 use crate::scenario::{Arrival, Scenario};
 
 const TICK_S: f64 = 0.02;
+/// Work that a request costs which the target fails at once.
+const FAILURE_WORK_S: f64 = 0.001;
 /// Time until a caller knows the level of an answer.
 const LEVEL_DELAY_S: f64 = 0.05;
 
@@ -13,6 +15,7 @@
 pub(crate) struct RunningJob {
     index: usize,
     work_left: f64,
+    is_failing: bool,
 }
 
 pub(crate) struct Simulation<'a> {
@@ -103,6 +106,9 @@
             return Vec::new();
         };
         let job = self.running.swap_remove(position);
+        if job.is_failing {
+            return policy.finish(now, job.index, false);
+        }
         self.answered[job.index] = Some(now);
         policy.finish(now, job.index, now <= self.arrivals[job.index].deadline)
     }
@@ -110,15 +116,23 @@
     fn apply(&mut self, verdicts: &[Verdict]) {
         for verdict in verdicts {
             match *verdict {
-                Verdict::Start(index) => self.running.push(RunningJob {
-                    index,
-                    work_left: self.arrivals[index].work,
-                }),
+                Verdict::Start(index) => self.start(index),
                 Verdict::Refuse(index, reason) => self.refuse(index, reason),
             }
         }
     }
 
+    fn start(&mut self, index: usize) {
+        let working = self.running.iter().filter(|job| !job.is_failing).count();
+        let is_failing = self.scenario.fails(working);
+        let work = self.arrivals[index].work;
+        self.running.push(RunningJob {
+            index,
+            work_left: if is_failing { FAILURE_WORK_S } else { work },
+            is_failing,
+        });
+    }
+
     fn refuse(&mut self, index: usize, reason: RefusalReason) {
         self.refused[index] = Some(reason);
         let is_for_room = matches!(
--- a/src/admission/cohort.rs
+++ b/src/admission/cohort.rs
@@ -9,6 +9,10 @@
 /// Work of a cohort that must have finished, in percent. Waiting for the slowest of all would delay the result for
 /// long; leaving out the same share each time keeps results comparable.
 const NEEDED_PERCENT: u32 = 90;
+/// Weight of a cohort in the baseline when it is slower than the baseline.
+const RISE_WEIGHT: f64 = 0.05;
+/// Weight of a cohort in the baseline when it is faster; a target that recovers or warms up is believed sooner.
+const FALL_WEIGHT: f64 = 0.3;
 /// Samples that make a mean of service times meaningful.
 const MIN_SAMPLES: u32 = 32;
 
@@ -21,10 +25,36 @@
     pub(super) failure_share: f64,
     /// Share of the work that took the last free slot.
     pub(super) busy_share: f64,
+    /// Mean number in flight after a start.
+    pub(super) in_flight: f64,
     /// Time from the first start to the result.
     pub(super) duration: Duration,
 }
 
+impl CohortResult {
+    /// Returns the baseline that follows from this one after a newer result.
+    pub(super) fn followed_by(&self, newer: &Self) -> Self {
+        let log_ratio = match (self.log_ratio, newer.log_ratio) {
+            (Some(old), Some(new)) => Some(follow_value(old, new)),
+            (old, new) => old.or(new),
+        };
+        Self {
+            log_ratio,
+            failure_share: follow_value(self.failure_share, newer.failure_share),
+            ..*newer
+        }
+    }
+}
+
+fn follow_value(baseline: f64, value: f64) -> f64 {
+    let weight = if value < baseline {
+        FALL_WEIGHT
+    } else {
+        RISE_WEIGHT
+    };
+    baseline + (value - baseline) * weight
+}
+
 /// Collects one cohort after another.
 ///
 /// Membership is decided at the start. Taking the first work to finish instead would prefer short work and make
@@ -36,6 +66,7 @@
     began: TickTime,
     started: u32,
     busy_starts: u32,
+    in_flight_sum: u64,
     finished: u32,
     failures: u32,
     samples: u32,
@@ -50,6 +81,7 @@
             began: TickTime::from_millis(0),
             started: 0,
             busy_starts: 0,
+            in_flight_sum: 0,
             finished: 0,
             failures: 0,
             samples: 0,
@@ -65,7 +97,12 @@
         };
     }
 
-    pub(super) fn start(&mut self, now: TickTime, is_at_limit: bool) -> Option<u32> {
+    pub(super) fn start(
+        &mut self,
+        now: TickTime,
+        in_flight: usize,
+        is_at_limit: bool,
+    ) -> Option<u32> {
         if self.started == self.size {
             return None;
         }
@@ -73,6 +110,7 @@
             self.began = now;
         }
         self.started += 1;
+        self.in_flight_sum += in_flight as u64;
         self.busy_starts += u32::from(is_at_limit);
         Some(self.number)
     }
@@ -100,6 +138,7 @@
             log_ratio,
             failure_share: f64::from(self.failures) / f64::from(self.finished),
             busy_share: f64::from(self.busy_starts) / f64::from(self.started),
+            in_flight: self.in_flight_sum as f64 / f64::from(self.started),
             duration: now - self.began,
         })
     }
--- a/src/admission/control.rs
+++ b/src/admission/control.rs
@@ -322,10 +322,9 @@
 
     fn occupy(&mut self, now: TickTime, class: PriorityClass) -> WorkState {
         self.running.add(now, class);
-        let is_at_limit = !self.has_free_slot();
         WorkState::Running {
             since: now,
-            cohort: self.limit.start(now, is_at_limit),
+            cohort: self.limit.start(now, self.running.len()),
         }
     }
 
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -24,6 +24,9 @@
 const MAX_TRIAL: Duration = Duration::from_secs(3);
 /// Factor of a trial cut. A smaller cut cannot be told from the noise of a cohort.
 const CUT: f64 = 0.7;
+/// Factor of a trial cut because of failures, and of each further one. It is close to 1 because failures stop at
+/// once below the number that the target bears, and a lower limit only loses throughput.
+const FAILURE_CUT: f64 = 0.85;
 /// Service time over its long-term mean that starts a trial cut.
 const TOLERANCE: f64 = 1.5;
 /// Share of the full effect of a cut that confirms it.
@@ -37,16 +40,12 @@
 const FLOOR_DIVISOR: u32 = 8;
 /// Growth of the limit for each busy cohort without a rise.
 const GROWTH: f64 = 0.25;
-/// Weight of a cohort in the baseline when it is slower than the baseline.
-const RISE_WEIGHT: f64 = 0.05;
-/// Weight of a cohort in the baseline when it is faster; a target that recovers or warms up is believed sooner.
-const FALL_WEIGHT: f64 = 0.3;
-
 #[derive(Debug, Clone, Copy)]
 struct TrialCut {
     limit_before: f64,
     before: CohortResult,
     rounds_left: u32,
+    is_about_failures: bool,
 }
 
 /// Concurrency limit that follows measured service times and failures.
@@ -86,9 +85,10 @@
         self.cohort.restart(COHORT_SIZE);
     }
 
-    /// Counts started work and returns the number of its cohort, if it belongs to one.
-    pub(super) fn start(&mut self, now: TickTime, is_at_limit: bool) -> Option<u32> {
-        self.cohort.start(now, is_at_limit)
+    /// Counts started work, given the number in flight with it, and returns the number of its cohort, if it belongs to one.
+    pub(super) fn start(&mut self, now: TickTime, in_flight: usize) -> Option<u32> {
+        let is_at_limit = in_flight >= self.get() as usize;
+        self.cohort.start(now, in_flight, is_at_limit)
     }
 
     /// Adds finished work with the logarithm of its service time over the long-term mean.
@@ -111,21 +111,42 @@
         let full_effect = (trial.limit_before / self.limit).ln();
         let is_faster = fall(trial.before.log_ratio, result.log_ratio)
             .is_some_and(|fall| fall > CONFIRM_EFFECT * full_effect);
-        let fails_less = trial.before.failure_share > FAILURE_RISE
+        let fails_less = trial.is_about_failures
             && result.failure_share < trial.before.failure_share * FAILURE_FALL;
+        let is_last_round = trial.rounds_left <= 1;
         if !is_faster && !fails_less {
-            self.revert(&trial);
-        } else if trial.rounds_left > 1 {
+            self.continue_or_revert(trial);
+        } else if is_last_round {
+            self.cohort.restart(COHORT_SIZE);
+        } else {
             self.cohort.restart(TRIAL_SIZE);
             self.trial = Some(TrialCut {
                 rounds_left: trial.rounds_left - 1,
                 ..trial
             });
-        } else {
-            self.cohort.restart(COHORT_SIZE);
         }
     }
 
+    /// Cuts on if the trial is about failures: a target that fails all requests above a number of its own goes on
+    /// failing until the limit is below that number.
+    fn continue_or_revert(&mut self, trial: TrialCut) {
+        let floor = self.floor();
+        if !trial.is_about_failures || self.limit <= floor {
+            self.revert(&trial);
+            return;
+        }
+        self.limit = (self.limit * FAILURE_CUT).max(floor);
+        self.cohort.restart(TRIAL_SIZE);
+        self.trial = Some(TrialCut {
+            rounds_left: TRIAL_ROUNDS,
+            ..trial
+        });
+    }
+
+    fn floor(&self) -> f64 {
+        f64::from(self.slots.div_ceil(FLOOR_DIVISOR))
+    }
+
     /// Undoes a cut without effect and accepts the measurement before it as the new baseline.
     fn revert(&mut self, trial: &TrialCut) {
         self.limit = trial.limit_before;
@@ -138,51 +159,45 @@
         let baseline = *self.baseline.get_or_insert(result);
         let is_slower =
             fall(result.log_ratio, baseline.log_ratio).is_some_and(|rise| rise > TOLERANCE.ln());
-        let has_risen = is_slower || result.failure_share > baseline.failure_share + FAILURE_RISE;
+        let fails_more = result.failure_share > baseline.failure_share + FAILURE_RISE;
         let is_busy = result.busy_share > BUSY_SHARE;
-        if has_risen && is_busy && result.duration <= MAX_TRIAL {
-            self.begin_trial(result);
+        let has_begun = if fails_more {
+            // Quick failures free their slots, so the limit may be far above the number that the target bears.
+            let in_flight = result.in_flight.min(self.limit);
+            self.begin_trial(result, in_flight * FAILURE_CUT, true)
+        } else if is_slower && is_busy && result.duration <= MAX_TRIAL {
+            self.begin_trial(result, self.limit * CUT, false)
+        } else {
+            false
+        };
+        if has_begun {
             return;
         }
-        self.baseline = Some(CohortResult {
-            log_ratio: match (baseline.log_ratio, result.log_ratio) {
-                (Some(baseline), Some(value)) => Some(follow_value(baseline, value)),
-                (baseline, value) => baseline.or(value),
-            },
-            failure_share: follow_value(baseline.failure_share, result.failure_share),
-            ..result
-        });
-        if is_busy && !has_risen {
+        self.baseline = Some(baseline.followed_by(&result));
+        if is_busy && !is_slower && !fails_more {
             let grown = self.limit + (self.limit * GROWTH).max(1.0);
             self.limit = grown.min(f64::from(self.slots));
         }
     }
 
-    fn begin_trial(&mut self, before: CohortResult) {
-        let floor = f64::from(self.slots.div_ceil(FLOOR_DIVISOR));
-        let cut = (self.limit * CUT).max(floor);
-        if cut >= self.limit {
-            return;
+    /// Begins a trial cut unless the limit is too low for one already.
+    fn begin_trial(&mut self, before: CohortResult, limit: f64, is_about_failures: bool) -> bool {
+        let limit = limit.max(self.floor());
+        if limit >= self.limit {
+            return false;
         }
         self.trial = Some(TrialCut {
             limit_before: self.limit,
             before,
             rounds_left: TRIAL_ROUNDS,
+            is_about_failures,
         });
-        self.limit = cut;
+        self.limit = limit;
         self.cohort.restart(TRIAL_SIZE);
+        true
     }
 }
 
 fn fall(before: Option<f64>, after: Option<f64>) -> Option<f64> {
     Some(before? - after?)
 }
-
-fn follow_value(baseline: f64, value: f64) -> f64 {
-    let weight = if value < baseline {
-        FALL_WEIGHT
-    } else {
-        RISE_WEIGHT
-    };
-    baseline + (value - baseline) * weight
-}
