Compare trial cuts without bias

Small cohorts left out more of their slow work than large ones, and the long-term mean of a young process followed the slowdown during the trial. Unfinished work now counts with its age, the plain mean ends after 50 samples, and an undone cut takes the slower of both measurements as the new baseline.

--- a/src/admission/cohort.rs
+++ b/src/admission/cohort.rs
@@ -7,7 +7,7 @@
 use super::work::WorkResult;
 
 /// Work of a cohort that must have finished, in percent. Waiting for the slowest of all would delay the result for
-/// long; leaving out the same share each time keeps results comparable.
+/// long.
 const NEEDED_PERCENT: u32 = 90;
 /// Weight of a cohort in the baseline when it is slower than the baseline.
 const RISE_WEIGHT: f64 = 0.05;
@@ -32,6 +32,19 @@
 }
 
 impl CohortResult {
+    /// Returns this result with the larger of two service times.
+    pub(super) fn slower_of(&self, other: &Self) -> Self {
+        let is_slower = other.log_ratio > self.log_ratio;
+        Self {
+            log_ratio: if is_slower {
+                other.log_ratio
+            } else {
+                self.log_ratio
+            },
+            ..*self
+        }
+    }
+
     /// Returns the baseline that follows from this one after a newer result.
     pub(super) fn followed_by(&self, newer: &Self) -> Self {
         let log_ratio = match (self.log_ratio, newer.log_ratio) {
@@ -127,11 +140,21 @@
         }
     }
 
-    /// Returns the means of the cohort once it has finished.
+    /// Returns the number of the cohort if enough of its work has finished for a result.
+    pub(super) fn ready(&self) -> Option<u32> {
+        (self.finished * 100 >= self.size * NEEDED_PERCENT).then_some(self.number)
+    }
+
+    /// Counts work that still runs with the service time that it has reached. Leaving it out would make the result
+    /// look faster, and more so the smaller the cohort is.
+    pub(super) fn add_unfinished(&mut self, log_ratio: f64) {
+        self.samples += 1;
+        self.log_sum += log_ratio;
+    }
+
+    /// Returns the means of the cohort once it is ready.
     pub(super) fn result(&self, now: TickTime) -> Option<CohortResult> {
-        if self.finished * 100 < self.size * NEEDED_PERCENT {
-            return None;
-        }
+        self.ready()?;
         let log_ratio =
             (self.samples >= MIN_SAMPLES).then(|| self.log_sum / f64::from(self.samples));
         Some(CohortResult {
--- a/src/admission/control.rs
+++ b/src/admission/control.rs
@@ -125,7 +125,7 @@
         let mut actions = Vec::new();
         self.refresh(now);
         self.refuse_hopeless(now, &mut actions);
-        self.limit.evaluate(now);
+        self.adapt_limit(now);
         self.sample_level();
         let cap = self.level_cap();
         self.level.update(now, self.settings.level_period, cap);
@@ -378,6 +378,21 @@
         is_sample.then(|| self.times.record(now, class, service_time))
     }
 
+    fn adapt_limit(&mut self, now: TickTime) {
+        if let Some(ready) = self.limit.ready_cohort() {
+            for entry in self.entries.values() {
+                if let WorkState::Running { since, cohort } = entry.state
+                    && cohort == Some(ready)
+                {
+                    let class = entry.request.priority.class();
+                    self.limit
+                        .add_unfinished(self.times.log_ratio(class, now - since));
+                }
+            }
+        }
+        self.limit.evaluate(now);
+    }
+
     fn sample_level(&mut self) {
         let limit = self.limit.get().max(1);
         let by_service = self.service_time.mul_f64(self.settings.wait_share);
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -96,12 +96,24 @@
         self.cohort.finish(cohort, log_ratio, result);
     }
 
+    /// Returns the number of the cohort that the next evaluation decides on, if there is one.
+    pub(super) fn ready_cohort(&self) -> Option<u32> {
+        self.cohort.ready()
+    }
+
+    /// Counts work of the cohort that still runs.
+    pub(super) fn add_unfinished(&mut self, log_ratio: f64) {
+        self.cohort.add_unfinished(log_ratio);
+    }
+
     /// Adapts the limit once a cohort has finished under it.
     pub(super) fn evaluate(&mut self, now: TickTime) {
         let result = self.cohort.result(now);
         match (self.trial.take(), result) {
             (Some(trial), Some(result)) => self.judge_trial(trial, &result),
-            (Some(trial), None) if self.cohort.age(now) > MAX_TRIAL => self.revert(&trial),
+            (Some(trial), None) if self.cohort.age(now) > MAX_TRIAL => {
+                self.revert(&trial, trial.before);
+            }
             (None, Some(result)) => self.follow(result),
             (trial, None) => self.trial = trial,
         }
@@ -115,7 +127,7 @@
             && result.failure_share < trial.before.failure_share * FAILURE_FALL;
         let is_last_round = trial.rounds_left <= 1;
         if !is_faster && !fails_less {
-            self.continue_or_revert(trial);
+            self.continue_or_revert(trial, result);
         } else if is_last_round {
             self.cohort.restart(COHORT_SIZE);
         } else {
@@ -129,10 +141,11 @@
 
     /// Cuts on if the trial is about failures: a target that fails all requests above a number of its own goes on
     /// failing until the limit is below that number.
-    fn continue_or_revert(&mut self, trial: TrialCut) {
+    fn continue_or_revert(&mut self, trial: TrialCut, result: &CohortResult) {
         let floor = self.floor();
         if !trial.is_about_failures || self.limit <= floor {
-            self.revert(&trial);
+            // The measurement before the cut may still contain work from before the slowdown.
+            self.revert(&trial, trial.before.slower_of(result));
             return;
         }
         self.limit = (self.limit * FAILURE_CUT).max(floor);
@@ -147,10 +160,10 @@
         f64::from(self.slots.div_ceil(FLOOR_DIVISOR))
     }
 
-    /// Undoes a cut without effect and accepts the measurement before it as the new baseline.
-    fn revert(&mut self, trial: &TrialCut) {
+    /// Undoes a cut without effect.
+    fn revert(&mut self, trial: &TrialCut, baseline: CohortResult) {
         self.limit = trial.limit_before;
-        self.baseline = Some(trial.before);
+        self.baseline = Some(baseline);
         self.cohort.restart(COHORT_SIZE);
     }
 
--- a/src/admission/service_time.rs
+++ b/src/admission/service_time.rs
@@ -12,6 +12,9 @@
 const FADE_HALF_LIFE_S: f64 = 1.0;
 /// Time constant of the long-term mean.
 const LONG_TIME_S: f64 = 120.0;
+/// Samples of a class whose plain mean is the first long-term mean. More would let the mean of a young process follow
+/// a slowdown while its causes are being tried.
+const FIRST_SAMPLES: u32 = 50;
 /// Shorter samples count as this long.
 const LEAST_SAMPLE: Duration = Duration::from_micros(1);
 
@@ -24,16 +27,23 @@
 }
 
 impl ClassTimes {
+    fn distance(&self, sample_log: f64) -> f64 {
+        if self.samples == 0 {
+            return 0.0;
+        }
+        sample_log - self.long_log
+    }
+
     /// Moves the long-term mean of logarithms and returns the distance of the sample from it.
     fn record_long(&mut self, sample_log: f64, elapsed_s: f64) -> f64 {
+        let distance = self.distance(sample_log);
         self.samples = self.samples.saturating_add(1);
-        let distance = if self.samples == 1 {
-            0.0
+        let weight = if self.samples <= FIRST_SAMPLES {
+            1.0 / f64::from(self.samples)
         } else {
-            sample_log - self.long_log
+            (elapsed_s / LONG_TIME_S).min(1.0)
         };
-        let weight = (elapsed_s / LONG_TIME_S).max(1.0 / f64::from(self.samples));
-        self.long_log += (sample_log - self.long_log) * weight.min(1.0);
+        self.long_log += (sample_log - self.long_log) * weight;
         distance
     }
 }
@@ -64,6 +74,12 @@
         times.record_long(seconds.ln(), elapsed_s)
     }
 
+    /// Returns the logarithm of the ratio of a service time to the long-term mean of its class.
+    pub(super) fn log_ratio(&self, class: PriorityClass, service_time: Duration) -> f64 {
+        let seconds = service_time.max(LEAST_SAMPLE).as_secs_f64();
+        self.classes[class.index()].distance(seconds.ln())
+    }
+
     /// Returns the expected service time of a class, zero if unknown.
     pub(super) fn expected(&self, now: TickTime, class: PriorityClass) -> Duration {
         let times = &self.classes[class.index()];
