--- a/src/admission/level.rs
+++ b/src/admission/level.rs
@@ -15,6 +15,11 @@
 /// Utilisation below which a target has room for much more work than it gets.
 const IDLE_UTILISATION: f64 = 0.5;
 
+/// Utilisation above which the level falls only in small steps. The slots are then nearly all in use, and a large
+/// step on the noise of one window would overshoot the bound at once.
+const BUSY_UTILISATION: f64 = 0.9;
+const MAX_BUSY_STEP: u16 = 1500;
+
 #[derive(Debug, Default)]
 struct WindowSums {
     wait_ratio: f64,
@@ -82,7 +87,7 @@
         self.update_capacity(f64::from(window.finished) / window_s, utilisation);
         let has_room = utilisation < IDLE_UTILISATION;
         self.histogram.end_window(window_s, self.level, has_room);
-        self.move_level(window.wait_ratio / samples);
+        self.move_level(window.wait_ratio / samples, utilisation);
     }
 
     /// Scales the rate of finished work to full use of the slots. A window with few busy slots can show a higher
@@ -96,14 +101,17 @@
 
     /// Raises the level while the wait exceeds its bound and lowers it otherwise, to where the histogram promises as
     /// much work as the target can carry, less or more by the distance of the wait from its bound.
-    fn move_level(&mut self, wait_ratio: f64) {
+    fn move_level(&mut self, wait_ratio: f64, utilisation: f64) {
         let correction = (WAIT_GAIN * (1.0 - wait_ratio)).max(-MAX_DRAIN);
         let wanted = self.capacity * (1.0 + correction);
         let level = self.histogram.level_for(wanted);
         self.level = if wait_ratio > 1.0 {
             self.level.max(level)
-        } else {
+        } else if utilisation < BUSY_UTILISATION {
             self.level.min(level)
+        } else {
+            let lowest = self.level.as_raw().saturating_sub(MAX_BUSY_STEP);
+            self.level.min(level.max(RequestPriority::from_raw(lowest)))
         };
     }
 }
