--- a/src/admission/control.rs
+++ b/src/admission/control.rs
@@ -125,10 +125,10 @@
         let mut actions = Vec::new();
         self.refresh(now);
         self.refuse_hopeless(now, &mut actions);
-        self.limit.evaluate(now);
+        self.adapt_limit(now);
         self.sample_level();
-        self.level.update(now, self.settings.level_period);
-        self.refuse_shut_classes(&mut actions);
+        let cap = self.level_cap();
+        self.level.update(now, self.settings.level_period, cap);
         self.start_ready(now, &mut actions);
         actions
     }
@@ -260,8 +260,13 @@
             return Err(RefusalReason::AdmissionLevel);
         }
         let is_shut_out = request.priority < level;
-        let bound = if is_shut_out { 0 } else { self.queue_bound() };
-        if self.queue.len() < bound + self.running.count_below(rank.class()) {
+        let lower_running = self.running.count_below(rank.class());
+        let bound = match (lower_running, is_shut_out) {
+            (1.., _) => self.settings.queue_limit,
+            (0, true) => 0,
+            (0, false) => self.queue_bound(),
+        };
+        if self.queue.len() < bound + lower_running {
             return Ok(());
         }
         let can_displace = self
@@ -317,10 +322,9 @@
 
     fn occupy(&mut self, now: TickTime, class: PriorityClass) -> WorkState {
         self.running.add(now, class);
-        let is_at_limit = !self.has_free_slot();
         WorkState::Running {
             since: now,
-            cohort: self.limit.start(now, is_at_limit),
+            cohort: self.limit.start(now, self.running.len()),
         }
     }
 
@@ -344,20 +348,17 @@
         }
     }
 
-    /// Refuses queued work of classes that the level shuts out as a whole, so that it does not start while the level
-    /// refuses a part of a higher class.
-    fn refuse_shut_classes(&mut self, actions: &mut Vec<WorkAction>) {
-        let class = self.level.get().class();
-        while self
-            .queue
-            .lowest()
-            .is_some_and(|lowest| lowest.class() < class)
-        {
-            let Some(key) = self.queue.pop_lowest() else {
-                return;
-            };
-            actions.push(self.refuse(key, RefusalReason::AdmissionLevel));
-        }
+    /// Returns the highest level that shuts out no part of a class while lower classes run or wait.
+    fn level_cap(&self) -> RequestPriority {
+        let waiting = self.queue.lowest().map(QueueRank::class);
+        let lowest = waiting.into_iter().chain(self.running.lowest_class()).min();
+        let above = PriorityClass::ALL
+            .into_iter()
+            .find(|class| lowest.is_some_and(|lowest| *class > lowest));
+        above.map_or(
+            RequestPriority::from_raw(u16::MAX),
+            RequestPriority::lowest_of,
+        )
     }
 
     fn measure(
@@ -377,6 +378,21 @@
         is_sample.then(|| self.times.record(now, class, service_time))
     }
 
+    fn adapt_limit(&mut self, now: TickTime) {
+        if let Some(ready) = self.limit.ready_cohort() {
+            for entry in self.entries.values() {
+                if let WorkState::Running { since, cohort } = entry.state
+                    && cohort == Some(ready)
+                {
+                    let class = entry.request.priority.class();
+                    self.limit
+                        .add_unfinished(self.times.log_ratio(class, now - since));
+                }
+            }
+        }
+        self.limit.evaluate(now);
+    }
+
     fn sample_level(&mut self) {
         let limit = self.limit.get().max(1);
         let by_service = self.service_time.mul_f64(self.settings.wait_share);
