--- a/src/shares.rs
+++ b/src/shares.rs
@@ -40,3 +40,12 @@
     let nanos = u64::try_from(span.as_nanos()).unwrap_or(u64::MAX);
     u64::from(rate_per_s).saturating_mul(nanos)
 }
+
+/// Returns the capacity of a leased bucket, 0 if the rate is too small for one token.
+///
+/// Half of the burst stays in the bank, for nodes that have no lease yet.
+fn lease_capacity(lease_per_s: u32, rate_per_s: u32, burst: u32) -> u32 {
+    let whole = u64::from(burst) * u64::from(lease_per_s) / u64::from(rate_per_s.max(1));
+    let whole = u32::try_from(whole).unwrap_or(u32::MAX);
+    whole.div_ceil(2)
+}
--- a/src/shares/bucket.rs
+++ b/src/shares/bucket.rs
@@ -6,10 +6,13 @@
 use crate::plans::{CallerEntry, PlanEntry};
 use crate::types::{CallerName, TickTime};
 
-use super::{REPLY_BOUND, RateDemand, RateShare, TOKEN, accrued};
+use super::{REPLY_BOUND, RateDemand, RateShare, SHARE_LEASE, TOKEN, accrued, lease_capacity};
 
 /// Regular time between heartbeats, after which a caller without tokens may try again.
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
+/// Longest life of a lease that is only confirmed. A chain of new leaders must not keep a lease
+/// from before an edit that lowered the limit.
+const CONFIRMED_LEASE: Duration = SHARE_LEASE.saturating_mul(2);
 /// Early heartbeats that may follow each other; they refill at one per regular heartbeat, which
 /// at most doubles the control traffic of a node.
 const MAX_EARLY_HEARTBEATS: u32 = 4;
@@ -41,6 +44,7 @@
     capacity: u64,
     tokens: u64,
     refilled_at: TickTime,
+    granted_at: TickTime,
     expires_at: TickTime,
 }
 
@@ -74,7 +78,7 @@
             if share.rate_per_s == 0 {
                 bucket.add_deposit(share.burst, expires_at);
             } else {
-                bucket.set_lease(now, share, expires_at, is_late);
+                bucket.set_lease(now, share, sent_at, is_late);
             }
         }
     }
@@ -88,9 +92,9 @@
         caller: &CallerEntry,
         plan: &PlanEntry,
     ) -> Result<(), Duration> {
-        if plan.rate_per_s.is_none() {
+        let Some(rate_per_s) = plan.rate_per_s else {
             return Ok(());
-        }
+        };
         if !self.callers.contains_key(&caller.name) {
             self.callers
                 .insert(caller.name.clone(), CallerBucket::default());
@@ -99,6 +103,7 @@
             return Err(HEARTBEAT_PERIOD);
         };
         bucket.offered = bucket.offered.saturating_add(1);
+        bucket.clip_capacity(rate_per_s, plan.burst);
         let result = bucket.take(now);
         self.has_unmet_demand |= result.is_err() && bucket.lease.is_none();
         result
@@ -160,25 +165,23 @@
         self.deposits.push(HeldDeposit { tokens, expires_at });
     }
 
-    fn set_lease(&mut self, now: TickTime, share: &RateShare, expires_at: TickTime, is_late: bool) {
+    fn set_lease(&mut self, now: TickTime, share: &RateShare, sent_at: TickTime, is_late: bool) {
         self.drop_expired(now);
-        let Some(lease) = &mut self.lease else {
-            if !is_late && share.burst > 0 {
-                self.lease = Some(HeldLease::new(now, share, expires_at));
-            }
-            return;
-        };
-        lease.refill(now);
-        lease.rate_per_s = if is_late {
-            share.rate_per_s.min(lease.rate_per_s)
-        } else {
-            share.rate_per_s
-        };
-        if share.burst > 0 {
-            lease.capacity = u64::from(share.burst) * TOKEN;
+        let is_confirmation = share.burst == 0;
+        match &mut self.lease {
+            Some(lease) => lease.replace(now, share, sent_at, is_late),
+            None if is_late || is_confirmation => {}
+            None => self.lease = Some(HeldLease::new(now, share, sent_at)),
+        }
+    }
+
+    // A lease that a new leader confirms keeps its capacity, which an edit may have lowered.
+    fn clip_capacity(&mut self, rate_per_s: u32, burst: u32) {
+        if let Some(lease) = &mut self.lease {
+            let capacity = lease_capacity(lease.rate_per_s, rate_per_s, burst);
+            lease.capacity = lease.capacity.min(u64::from(capacity) * TOKEN);
             lease.tokens = lease.tokens.min(lease.capacity);
         }
-        lease.expires_at = expires_at;
     }
 
     fn take(&mut self, now: TickTime) -> Result<(), Duration> {
@@ -223,13 +226,28 @@
 }
 
 impl HeldLease {
-    fn new(now: TickTime, share: &RateShare, expires_at: TickTime) -> Self {
+    fn new(now: TickTime, share: &RateShare, sent_at: TickTime) -> Self {
         Self {
             rate_per_s: share.rate_per_s,
             capacity: u64::from(share.burst) * TOKEN,
             tokens: 0,
             refilled_at: now,
-            expires_at,
+            granted_at: sent_at,
+            expires_at: sent_at + share.valid_for,
+        }
+    }
+
+    fn replace(&mut self, now: TickTime, share: &RateShare, sent_at: TickTime, is_late: bool) {
+        self.refill(now);
+        let late_bound = if is_late { self.rate_per_s } else { u32::MAX };
+        self.rate_per_s = share.rate_per_s.min(late_bound);
+        self.expires_at = sent_at + share.valid_for;
+        if share.burst > 0 {
+            self.granted_at = sent_at;
+            self.capacity = u64::from(share.burst) * TOKEN;
+            self.tokens = self.tokens.min(self.capacity);
+        } else {
+            self.expires_at = self.expires_at.min(self.granted_at + CONFIRMED_LEASE);
         }
     }
 
--- a/src/shares/ledger.rs
+++ b/src/shares/ledger.rs
@@ -49,7 +49,8 @@
                 .accounts
                 .entry(demand.caller.clone())
                 .or_insert_with(|| CallerAccount::new(now, known_from, limit));
-            account.settle(now, limit);
+            account.settle(now);
+            account.set_limit(now, limit);
             if now < known_from {
                 shares.extend(account.confirm(now, node_id, demand, limit));
             } else {
@@ -62,7 +63,7 @@
     /// Removes expired shares and accounts of callers that are idle.
     pub fn expire(&mut self, now: TickTime) {
         self.accounts.retain(|_, account| {
-            account.drop_expired(now);
+            account.settle(now);
             !account.is_idle(now)
         });
     }
--- a/src/shares/ledger/account.rs
+++ b/src/shares/ledger/account.rs
@@ -5,7 +5,9 @@
 
 use crate::types::{NodeId, TickTime};
 
-use super::super::{DEPOSIT_LIFE, REPLY_BOUND, RateDemand, RateShare, SHARE_LEASE, TOKEN, accrued};
+use super::super::{
+    DEPOSIT_LIFE, REPLY_BOUND, RateDemand, RateShare, SHARE_LEASE, TOKEN, accrued, lease_capacity,
+};
 use super::fill_time;
 
 /// Factor by which a lease may exceed the measured demand, so that growth is not cut off.
@@ -28,13 +30,8 @@
 }
 
 impl CallerLimit {
-    /// Returns the capacity of a leased bucket, 0 if the rate is too small for one token.
-    ///
-    /// Half of the burst stays in the bank, for nodes that have no lease yet.
-    fn capacity(self, rate_per_s: u32) -> u32 {
-        let whole = u64::from(self.burst) * u64::from(rate_per_s) / u64::from(self.rate_per_s);
-        let whole = u32::try_from(whole).unwrap_or(u32::MAX);
-        whole.div_ceil(2)
+    fn capacity(self, lease_per_s: u32) -> u32 {
+        lease_capacity(lease_per_s, self.rate_per_s, self.burst)
     }
 }
 
@@ -102,26 +99,28 @@
     }
 
     /// Fills the bank at the rate that was not leased, then removes what expired.
-    pub(super) fn settle(&mut self, now: TickTime, limit: CallerLimit) {
+    ///
+    /// Shares that expired since the last settlement count as held for the whole time.
+    pub(super) fn settle(&mut self, now: TickTime) {
         let totals = self.totals();
-        let unleased = u64::from(limit.rate_per_s).saturating_sub(totals.rate_per_s);
+        let unleased = u64::from(self.limit.rate_per_s).saturating_sub(totals.rate_per_s);
         let span = now.saturating_since(self.banked_at);
         let income = accrued(unleased as u32, span);
         self.bank = self.bank.saturating_add(income);
         self.banked_at = self.banked_at.max(now);
-        self.limit = limit;
         self.clip_bank(totals);
-        self.drop_expired(now);
-        self.used_at = now;
-    }
-
-    pub(super) fn drop_expired(&mut self, now: TickTime) {
         self.nodes.retain(|_, node| {
             node.drop_expired(now);
             node.is_active(now)
         });
     }
 
+    pub(super) fn set_limit(&mut self, now: TickTime, limit: CallerLimit) {
+        self.limit = limit;
+        self.clip_bank(self.totals());
+        self.used_at = now;
+    }
+
     fn clip_bank(&mut self, totals: AccountTotals) {
         let stored = totals.capacity + totals.deposited;
         let room = u64::from(self.limit.burst).saturating_sub(stored);
@@ -154,10 +153,10 @@
         let others = totals.rate_per_s - u64::from(node.leased_rate(now));
         let free = u64::from(limit.rate_per_s).saturating_sub(others) as u32;
         let rate_per_s = demand.held_per_s.min(free);
-        if rate_per_s == 0 {
+        let capacity = limit.capacity(rate_per_s);
+        if capacity == 0 {
             return None;
         }
-        let capacity = limit.capacity(rate_per_s).max(1);
         node.push_lease(now, rate_per_s, capacity);
         Some(lease_share(demand, rate_per_s, 0))
     }
