--- a/src/shares/ledger/account.rs
+++ b/src/shares/ledger/account.rs
@@ -13,14 +13,12 @@
 /// Factor by which a lease may exceed the measured demand, so that growth is not cut off.
 const DEMAND_HEADROOM: f64 = 1.25;
 /// Time in which half of a fall in demand is believed; growth counts at once.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(1);
+const DEMAND_HALF_LIFE: Duration = Duration::from_millis(500);
 /// Offered rate at which a first report already earns a lease.
 const LEASE_AT_ONCE_PER_S: u32 = 3;
 /// Reports in a row that show demand before a slow caller gets a lease; a single request is
 /// served by a deposit, because a lease would tie up the rate for three seconds.
 const REPORTS_FOR_LEASE: u32 = 2;
-/// Averaged demand down to which a lease is renewed.
-const KEEP_LEASE_PER_S: f64 = 0.5;
 
 /// Limit of one caller over the whole mesh.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -231,7 +229,9 @@
         let age = now.saturating_since(self.seen_at).as_secs_f64();
         let fade = (-age / DEMAND_HALF_LIFE.as_secs_f64()).exp2();
         self.wanted_per_s = offered + (self.wanted_per_s - offered).max(0.0) * fade;
+        // A node without requests gets no renewal; what it holds lasts through a pause.
         self.reports = if offered_per_s == 0 {
+            self.wanted_per_s = 0.0;
             0
         } else {
             self.reports + 1
@@ -243,8 +243,7 @@
     }
 
     fn is_sustained(&self) -> bool {
-        let is_in_use = !self.leases.is_empty() && self.wanted_per_s >= KEEP_LEASE_PER_S;
-        self.reports >= REPORTS_FOR_LEASE || is_in_use
+        self.reports >= REPORTS_FOR_LEASE
     }
 
     /// Returns the demand with headroom, cut in proportion when all demand exceeds the limit.
