--- a/src/shares/ledger/account.rs
+++ b/src/shares/ledger/account.rs
@@ -5,20 +5,20 @@
 
 use crate::types::{NodeId, TickTime};
 
-use super::super::{DEPOSIT_LIFE, REPLY_BOUND, RateDemand, RateShare, SHARE_LEASE, TOKEN, accrued};
+use super::super::{
+    DEPOSIT_LIFE, REPLY_BOUND, RateDemand, RateShare, SHARE_LEASE, TOKEN, accrued, lease_capacity,
+};
 use super::fill_time;
 
 /// Factor by which a lease may exceed the measured demand, so that growth is not cut off.
 const DEMAND_HEADROOM: f64 = 1.25;
 /// Time in which half of a fall in demand is believed; growth counts at once.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(1);
+const DEMAND_HALF_LIFE: Duration = Duration::from_millis(500);
 /// Offered rate at which a first report already earns a lease.
 const LEASE_AT_ONCE_PER_S: u32 = 3;
 /// Reports in a row that show demand before a slow caller gets a lease; a single request is
 /// served by a deposit, because a lease would tie up the rate for three seconds.
 const REPORTS_FOR_LEASE: u32 = 2;
-/// Averaged demand down to which a lease is renewed.
-const KEEP_LEASE_PER_S: f64 = 0.5;
 
 /// Limit of one caller over the whole mesh.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,13 +28,8 @@
 }
 
 impl CallerLimit {
-    /// Returns the capacity of a leased bucket, 0 if the rate is too small for one token.
-    ///
-    /// Half of the burst stays in the bank, for nodes that have no lease yet.
-    fn capacity(self, rate_per_s: u32) -> u32 {
-        let whole = u64::from(self.burst) * u64::from(rate_per_s) / u64::from(self.rate_per_s);
-        let whole = u32::try_from(whole).unwrap_or(u32::MAX);
-        whole.div_ceil(2)
+    fn capacity(self, lease_per_s: u32) -> u32 {
+        lease_capacity(lease_per_s, self.rate_per_s, self.burst)
     }
 }
 
@@ -102,26 +97,28 @@
     }
 
     /// Fills the bank at the rate that was not leased, then removes what expired.
-    pub(super) fn settle(&mut self, now: TickTime, limit: CallerLimit) {
+    ///
+    /// Shares that expired since the last settlement count as held for the whole time.
+    pub(super) fn settle(&mut self, now: TickTime) {
         let totals = self.totals();
-        let unleased = u64::from(limit.rate_per_s).saturating_sub(totals.rate_per_s);
+        let unleased = u64::from(self.limit.rate_per_s).saturating_sub(totals.rate_per_s);
         let span = now.saturating_since(self.banked_at);
         let income = accrued(unleased as u32, span);
         self.bank = self.bank.saturating_add(income);
         self.banked_at = self.banked_at.max(now);
-        self.limit = limit;
         self.clip_bank(totals);
-        self.drop_expired(now);
-        self.used_at = now;
-    }
-
-    pub(super) fn drop_expired(&mut self, now: TickTime) {
         self.nodes.retain(|_, node| {
             node.drop_expired(now);
             node.is_active(now)
         });
     }
 
+    pub(super) fn set_limit(&mut self, now: TickTime, limit: CallerLimit) {
+        self.limit = limit;
+        self.clip_bank(self.totals());
+        self.used_at = now;
+    }
+
     fn clip_bank(&mut self, totals: AccountTotals) {
         let stored = totals.capacity + totals.deposited;
         let room = u64::from(self.limit.burst).saturating_sub(stored);
@@ -154,10 +151,10 @@
         let others = totals.rate_per_s - u64::from(node.leased_rate(now));
         let free = u64::from(limit.rate_per_s).saturating_sub(others) as u32;
         let rate_per_s = demand.held_per_s.min(free);
-        if rate_per_s == 0 {
+        let capacity = limit.capacity(rate_per_s);
+        if capacity == 0 {
             return None;
         }
-        let capacity = limit.capacity(rate_per_s).max(1);
         node.push_lease(now, rate_per_s, capacity);
         Some(lease_share(demand, rate_per_s, 0))
     }
@@ -232,7 +229,9 @@
         let age = now.saturating_since(self.seen_at).as_secs_f64();
         let fade = (-age / DEMAND_HALF_LIFE.as_secs_f64()).exp2();
         self.wanted_per_s = offered + (self.wanted_per_s - offered).max(0.0) * fade;
+        // A node without requests gets no renewal; what it holds lasts through a pause.
         self.reports = if offered_per_s == 0 {
+            self.wanted_per_s = 0.0;
             0
         } else {
             self.reports + 1
@@ -244,8 +243,7 @@
     }
 
     fn is_sustained(&self) -> bool {
-        let is_in_use = !self.leases.is_empty() && self.wanted_per_s >= KEEP_LEASE_PER_S;
-        self.reports >= REPORTS_FOR_LEASE || is_in_use
+        self.reports >= REPORTS_FOR_LEASE
     }
 
     /// Returns the demand with headroom, cut in proportion when all demand exceeds the limit.
