Test three control replicas as processes

Each replica listens on port 0 behind a proxy that can hold back, delay or refuse traffic, and cut off one sending process, which it finds through the socket tables of its own children.

--- a/src/command/apply.rs
+++ b/src/command/apply.rs
@@ -22,6 +22,8 @@
 
 const WAIT_BOUND: Duration = Duration::from_secs(30);
 const POLL_PAUSE: Duration = Duration::from_millis(250);
+// Nodes send a heartbeat each second, so that earlier reports would name them all.
+const REPORT_PAUSE: Duration = Duration::from_millis(2_500);
 // A new leader knows all live nodes after one lease time of 3 s.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
@@ -145,27 +147,40 @@
 ) -> Result<Verdict> {
     let deadline = Instant::now() + WAIT_BOUND;
     let mut known = KnownNodes::new(before);
-    let mut behind;
+    let mut next_report = Instant::now() + REPORT_PAUSE;
     loop {
-        let problem = match client.status().await {
+        let behind = match client.status().await {
             Ok(status) => known.find_behind(&status, version),
             Err(error) => vec![error.to_string()],
         };
-        behind = problem;
         if behind.is_empty() {
-            print(&format!("version {version} is in force at all nodes\n"))?;
+            let count = known.count;
+            print(&format!(
+                "version {version} is in force at all {count} nodes\n"
+            ))?;
             return Ok(Verdict::Done);
         }
         if Instant::now() >= deadline {
-            break;
+            eprintln!(
+                "version {version} is accepted; still behind after {} s:",
+                WAIT_BOUND.as_secs()
+            );
+            report_behind(&behind);
+            return Ok(Verdict::Failed);
+        }
+        if Instant::now() >= next_report {
+            next_report = Instant::now() + REPORT_PAUSE;
+            eprintln!("waiting for {} nodes:", behind.len());
+            report_behind(&behind);
         }
         sleep(POLL_PAUSE).await;
     }
-    eprintln!("version {version} is accepted; still behind:");
+}
+
+fn report_behind(behind: &[String]) {
     for node in behind {
         eprintln!("  {node}");
     }
-    Ok(Verdict::Failed)
 }
 
 /// Nodes that were alive before the change. After a change of the leader they count as behind until they had time to
@@ -175,6 +190,8 @@
     term: u64,
     node_ids: BTreeSet<Vec<u8>>,
     term_since: Option<Instant>,
+    /// Nodes in the last status.
+    count: usize,
 }
 
 impl KnownNodes {
@@ -184,10 +201,12 @@
             term: status.term,
             node_ids: node_ids(&status),
             term_since: None,
+            count: 0,
         }
     }
 
     fn find_behind(&mut self, status: &StatusReply, version: u64) -> Vec<String> {
+        self.count = status.nodes.len();
         if status.term != self.term {
             self.term = status.term;
             self.term_since = Some(Instant::now());
--- /dev/null
+++ b/tests/control.rs
@@ -0,0 +1,394 @@
+//! Three control replicas as processes keep every accepted edit through crashes, partitions and lost disks.
+
+#[path = "support/control_cluster.rs"]
+mod control_cluster;
+#[path = "support/fault_proxy.rs"]
+mod fault_proxy;
+
+use std::fs;
+use std::io::Write;
+use std::net::TcpStream;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use ebonyjunction::config::MeshToken;
+use ebonyjunction::control_client::ControlClient;
+use ebonyjunction::generated::{
+    ClaimDecision, ClaimKey, ClaimOutcome, ClaimRequest, HeartbeatRequest, NodeInfo, SettleRequest,
+};
+use ebonyjunction::types::{AttemptId, IdempotencyKey, NodeId};
+
+use control_cluster::{ControlCluster, change, poll, token};
+
+fn heartbeat(node_id: NodeId) -> HeartbeatRequest {
+    HeartbeatRequest {
+        node: Some(NodeInfo {
+            node_id: Bytes::copy_from_slice(node_id.as_bytes()),
+            zone: "a".to_owned(),
+            region: "north".to_owned(),
+            mesh_address: "127.0.0.1:9".to_owned(),
+            target: None,
+        }),
+        all_services: true,
+        ..HeartbeatRequest::default()
+    }
+}
+
+// Guards against an accepted edit that is lost when any replica, or all of them, are killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn apply_survives_kill() {
+    let mut cluster = ControlCluster::start().await;
+    let mut version = 0;
+    for replica_id in 1..=3 {
+        let reply = cluster.apply(&format!("up-{replica_id}"), version, 1).await;
+        assert_eq!((reply.accepted, reply.version), (true, version + 1));
+        cluster.replica(replica_id).kill();
+        let reply = cluster
+            .apply(&format!("down-{replica_id}"), version + 1, 7)
+            .await;
+        assert_eq!((reply.accepted, reply.version), (true, version + 2));
+        version += 2;
+        cluster.replica(replica_id).restart().await;
+    }
+    assert_eq!(cluster.shown().await, (version, 7));
+    for replica in &mut cluster.replicas {
+        replica.kill();
+    }
+    for replica in &mut cluster.replicas {
+        replica.restart().await;
+    }
+    assert_eq!(cluster.shown().await, (version, 7));
+}
+
+// Guards against two edits of one version that are both accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn apply_equal_versions_race() {
+    let cluster = ControlCluster::start().await;
+    let edits = (1..=8_u32).map(|rate| {
+        let cluster = &cluster;
+        async move { (rate, cluster.apply(&format!("race-{rate}"), 0, rate).await) }
+    });
+    let replies = futures_util::future::join_all(edits).await;
+    let accepted: Vec<_> = replies.iter().filter(|(_, reply)| reply.accepted).collect();
+    assert_eq!(accepted.len(), 1);
+    assert_eq!(cluster.shown().await, (1, accepted[0].0));
+    for (_, reply) in replies.iter().filter(|(_, reply)| !reply.accepted) {
+        let current = reply
+            .current
+            .as_ref()
+            .expect("a conflict names the lists in force");
+        assert_eq!(current.version, 1);
+    }
+}
+
+// Guards against a resent edit that is applied twice or gets another result.
+#[tokio::test(flavor = "multi_thread")]
+async fn apply_resend_first_result() {
+    let cluster = ControlCluster::start().await;
+    assert!(cluster.apply("first", 0, 1).await.accepted);
+    assert!(cluster.apply("second", 1, 2).await.accepted);
+    for replica in &cluster.replicas {
+        let client = ControlClient::new(vec![replica.proxy.address], token());
+        let reply = poll("a result", async || {
+            client.apply_plans(change("first", 0, 1)).await.ok()
+        })
+        .await;
+        assert_eq!((reply.accepted, reply.version), (true, 1));
+    }
+    assert_eq!(cluster.shown().await, (2, 2));
+}
+
+// Guards against an isolated leader that keeps confirming old plans, and against one that disturbs the others when it
+// returns.
+#[tokio::test(flavor = "multi_thread")]
+async fn heartbeat_isolated_leader() {
+    let mut cluster = ControlCluster::start().await;
+    let status = cluster.wait_leader().await;
+    let old = status.leader_id;
+    let process = cluster.replica(old).process_id();
+    let direct = ControlClient::new(vec![cluster.replica(old).direct.unwrap()], token());
+    let node_id = NodeId::random();
+    poll("a fresh heartbeat", async || {
+        direct.heartbeat(heartbeat(node_id)).await.ok()
+    })
+    .await;
+    for replica in &cluster.replicas {
+        replica.proxy.set_faults(|faults| {
+            faults.is_cut = replica.replica_id == old;
+            faults.cut_processes.insert(process);
+        });
+    }
+    let cut_at = Instant::now();
+    let mut last_fresh = Duration::ZERO;
+    while cut_at.elapsed() < Duration::from_secs(4) {
+        let sent = cut_at.elapsed();
+        if direct.heartbeat(heartbeat(node_id)).await.is_ok() {
+            last_fresh = sent;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    eprintln!("last fresh heartbeat was sent {last_fresh:?} after the cut");
+    assert!(
+        last_fresh < Duration::from_secs(2),
+        "confirmed after {last_fresh:?}"
+    );
+    let reply = cluster.apply("after-cut", 0, 5).await;
+    assert!(reply.accepted);
+    let term = cluster.wait_leader().await.term;
+    assert!(term > status.term);
+    for replica in &cluster.replicas {
+        replica
+            .proxy
+            .set_faults(|faults| *faults = fault_proxy::ProxyFaults::default());
+    }
+    let reply = poll("a relayed heartbeat", async || {
+        direct.heartbeat(heartbeat(node_id)).await.ok()
+    })
+    .await;
+    assert_eq!((reply.term, reply.plan_version), (term, 1));
+}
+
+// Guards against an empty disk that counts towards a quorum before it holds the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn join_wiped_disk() {
+    let mut cluster = ControlCluster::start().await;
+    for version in 0..20 {
+        assert!(
+            cluster
+                .apply(&format!("c{version}"), version, 3)
+                .await
+                .accepted
+        );
+    }
+    let before = cluster.wait_leader().await.membership.unwrap();
+    cluster.replica(3).kill();
+    fs::remove_dir_all(&cluster.replica(3).data_folder).unwrap();
+    cluster.replica(3).restart().await;
+    poll("the promotion of the new disk", async || {
+        let membership = cluster.client().status().await.ok()?.membership?;
+        let is_new = membership.voters.iter().any(|voter| {
+            voter.replica_id == 3 && !before.voters.iter().any(|it| it.disk_id == voter.disk_id)
+        });
+        (is_new && membership.voters.len() == 3).then_some(())
+    })
+    .await;
+    assert!(cluster.apply("last", 20, 9).await.accepted);
+    cluster.replica(1).kill();
+    assert_eq!(cluster.shown().await, (21, 9));
+    assert!(cluster.apply("more", 21, 4).await.accepted);
+}
+
+// Guards against a replica that cannot catch up by snapshot, or only slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn catch_up_500_changes() {
+    let mut cluster = ControlCluster::start_with("snapshot_entries = 100").await;
+    cluster.replica(2).kill();
+    for version in 0..500 {
+        assert!(
+            cluster
+                .apply(&format!("c{version}"), version, 3)
+                .await
+                .accepted
+        );
+    }
+    let start = Instant::now();
+    cluster.replica(2).restart().await;
+    cluster
+        .replica(2)
+        .wait_log("event=plans-in-force version=500")
+        .await;
+    eprintln!("caught up 500 changes in {:?}", start.elapsed());
+    assert!(start.elapsed() < Duration::from_secs(20));
+}
+
+// Guards against a stop that is a crash, and against edits that wait long for a new leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_sigterm() {
+    let mut cluster = ControlCluster::start().await;
+    assert!(cluster.apply("one", 0, 1).await.accepted);
+    let leader_id = cluster.wait_leader().await.leader_id;
+    let leader = cluster.replica(leader_id);
+    let start = Instant::now();
+    leader.terminate();
+    assert_eq!(leader.wait_exit().await.code(), Some(0));
+    let stopped = start.elapsed();
+    assert!(cluster.apply("two", 1, 2).await.accepted);
+    eprintln!(
+        "stopped in {stopped:?}, next edit after {:?}",
+        start.elapsed()
+    );
+    assert!(stopped < Duration::from_secs(10));
+    for replica in cluster
+        .replicas
+        .iter_mut()
+        .filter(|it| it.replica_id != leader_id)
+    {
+        replica.terminate();
+        assert_eq!(replica.wait_exit().await.code(), Some(0));
+    }
+    for replica in &mut cluster.replicas {
+        replica.restart().await;
+    }
+    assert_eq!(cluster.shown().await, (2, 2));
+}
+
+// Guards against a damaged log that is silently shortened.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_corrupt_log() {
+    let mut cluster = ControlCluster::start().await;
+    for version in 0..30 {
+        assert!(
+            cluster
+                .apply(&format!("c{version}"), version, 3)
+                .await
+                .accepted
+        );
+    }
+    let replica = cluster.replica(1);
+    replica.kill();
+    let files = fs::read_dir(&replica.data_folder).unwrap().flatten();
+    let largest = files
+        .max_by_key(|file| file.metadata().unwrap().len())
+        .unwrap();
+    let mut content = fs::read(largest.path()).unwrap();
+    let middle = content.len() / 2;
+    content[middle] ^= 0xff;
+    fs::write(largest.path(), content).unwrap();
+    replica.spawn();
+    assert_eq!(replica.wait_exit().await.code(), Some(1));
+    let log = fs::read_to_string(&replica.log).unwrap();
+    assert!(log.contains("is damaged at byte"), "{log}");
+    assert_eq!(cluster.shown().await, (30, 3));
+}
+
+// Guards against outside traffic that takes a replica down or gets past the token.
+#[tokio::test(flavor = "multi_thread")]
+async fn serve_garbage() {
+    let mut cluster = ControlCluster::start().await;
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    let mut frame = preface.to_vec();
+    frame.extend([0xff; 4096]);
+    for garbage in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        &[0xa5; 70_000],
+        &frame,
+        &[0; 9],
+    ] {
+        for replica in &cluster.replicas {
+            let mut stream = TcpStream::connect(replica.direct.unwrap()).unwrap();
+            // The replica may close the connection while garbage is still being sent.
+            let _ = stream.write_all(garbage);
+        }
+    }
+    let other = MeshToken::try_from("0123456789abcdeX").unwrap();
+    let stranger = ControlClient::new(cluster.addresses(), other);
+    let refusal = stranger.show_plans().await.unwrap_err().to_string();
+    assert!(refusal.contains("Unauthenticated"), "{refusal}");
+    let client = cluster.client();
+    let mut oversized = heartbeat(NodeId::random());
+    oversized.services = vec!["x".repeat(1_000); 2_000];
+    assert!(client.heartbeat(oversized).await.is_err());
+    let mut malformed = heartbeat(NodeId::random());
+    malformed.node.as_mut().unwrap().node_id = Bytes::from_static(b"short");
+    assert!(client.heartbeat(malformed).await.is_err());
+    assert!(client.apply_plans(change("", 0, 1)).await.is_err());
+    assert!(cluster.apply("still-there", 0, 1).await.accepted);
+    for replica in &mut cluster.replicas {
+        replica.terminate();
+        assert_eq!(replica.wait_exit().await.code(), Some(0));
+    }
+}
+
+// Guards against a key that is granted twice, at the leader or through followers, and over slow links.
+#[tokio::test(flavor = "multi_thread")]
+async fn claim_once_over_slow_links() {
+    let cluster = ControlCluster::start().await;
+    for replica in &cluster.replicas {
+        let delay = Duration::from_millis(10);
+        replica.proxy.set_faults(|faults| faults.delay = delay);
+    }
+    cluster.wait_leader().await;
+    let key = ClaimKey {
+        caller: "shop".to_owned(),
+        service: "orders".to_owned(),
+        key: Bytes::copy_from_slice(IdempotencyKey::new_now().as_bytes()),
+    };
+    let claim = async |address, attempt: AttemptId| {
+        let client = ControlClient::new(vec![address], token());
+        let request = ClaimRequest {
+            key: Some(key.clone()),
+            attempt_id: Bytes::copy_from_slice(attempt.as_bytes()),
+            relayed: false,
+        };
+        let reply = poll("a decision", async || {
+            client
+                .claim(request.clone(), Duration::from_secs(5))
+                .await
+                .ok()
+        });
+        reply.await.decision()
+    };
+    let addresses = cluster.addresses();
+    let attempts = [
+        AttemptId::random(),
+        AttemptId::random(),
+        AttemptId::random(),
+    ];
+    let decisions = tokio::join!(
+        claim(addresses[0], attempts[0]),
+        claim(addresses[1], attempts[1]),
+        claim(addresses[2], attempts[2]),
+    );
+    let decisions = [decisions.0, decisions.1, decisions.2];
+    let granted: Vec<_> = (0..3)
+        .filter(|it| decisions[*it] == ClaimDecision::Granted)
+        .collect();
+    assert_eq!(granted.len(), 1, "{decisions:?}");
+    let holder = attempts[granted[0]];
+    let settle = SettleRequest {
+        key: Some(key.clone()),
+        attempt_id: Bytes::copy_from_slice(holder.as_bytes()),
+        outcome: ClaimOutcome::Released.into(),
+        relayed: false,
+    };
+    let client = cluster.client();
+    poll("a settlement", async || {
+        client.settle(settle.clone()).await.ok()
+    })
+    .await;
+    assert_eq!(claim(addresses[0], holder).await, ClaimDecision::Released);
+    let next = attempts[(granted[0] + 1) % 3];
+    assert_eq!(claim(addresses[1], next).await, ClaimDecision::Granted);
+}
+
+// Guards against a program that stops at the first damaged setting.
+#[test]
+fn check_damaged_settings() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("control.toml");
+    fs::write(&path, "replica_id = 0\nbootstrap = \"yes\"\nport = 1\n").unwrap();
+    let run = |flags: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ebonyjunction-control"));
+        command
+            .arg("--settings")
+            .arg(&path)
+            .args(flags)
+            .output()
+            .unwrap()
+    };
+    for output in [run(&["--check"]), run(&[])] {
+        assert_eq!(output.status.code(), Some(2));
+        let text = String::from_utf8(output.stderr).unwrap();
+        for part in [
+            "control.toml:1: replica_id:",
+            "control.toml:1: control_address: is required",
+            "control.toml:1: data_folder: is required",
+            "control.toml:1: mesh_token: is required",
+            "control.toml:2: bootstrap:",
+            "control.toml:3: port: unknown key",
+        ] {
+            assert!(text.contains(part), "{part} is missing in:\n{text}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/fault_proxy.rs
@@ -0,0 +1,169 @@
+//! TCP proxy that holds back, delays or refuses traffic without closing connections.
+
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+const HOLD_POLL: Duration = Duration::from_millis(5);
+const READ_BOUND: Duration = Duration::from_millis(200);
+
+/// Faults of one proxy. Held bytes are delivered when the fault ends, as TCP does.
+#[derive(Debug, Default, Clone)]
+pub struct ProxyFaults {
+    /// Nothing passes in either direction.
+    pub is_cut: bool,
+    /// Answers do not pass.
+    pub holds_answers: bool,
+    /// New connections are closed at once, present ones too.
+    pub is_dropping: bool,
+    /// Nothing passes for connections of these processes.
+    pub cut_processes: BTreeSet<u32>,
+    /// Time that each piece of data is late.
+    pub delay: Duration,
+}
+
+#[derive(Debug, Default)]
+struct ProxyState {
+    target: Option<SocketAddr>,
+    faults: ProxyFaults,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Direction {
+    Request,
+    Answer,
+}
+
+/// Proxy in front of one process.
+#[derive(Debug, Clone)]
+pub struct FaultProxy {
+    pub address: SocketAddr,
+    state: Arc<Mutex<ProxyState>>,
+}
+
+impl FaultProxy {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::<Mutex<ProxyState>>::default();
+        let accepted = Arc::clone(&state);
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let state = Arc::clone(&accepted);
+                thread::spawn(move || serve(client, &state));
+            }
+        });
+        Self { address, state }
+    }
+
+    pub fn set_target(&self, target: SocketAddr) {
+        self.state.lock().unwrap().target = Some(target);
+    }
+
+    pub fn set_faults(&self, change: impl FnOnce(&mut ProxyFaults)) {
+        change(&mut self.state.lock().unwrap().faults);
+    }
+}
+
+fn serve(client: TcpStream, state: &Arc<Mutex<ProxyState>>) {
+    let (target, faults) = {
+        let state = state.lock().unwrap();
+        (state.target, state.faults.clone())
+    };
+    let Some(target) = target.filter(|_| !faults.is_dropping) else {
+        return;
+    };
+    let Ok(server) = TcpStream::connect(target) else {
+        return;
+    };
+    let process = client.peer_addr().ok().and_then(process_of);
+    for (from, to, direction) in [
+        (&client, &server, Direction::Request),
+        (&server, &client, Direction::Answer),
+    ] {
+        let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
+            return;
+        };
+        let state = Arc::clone(state);
+        thread::spawn(move || copy(from, to, direction, process, &state));
+    }
+}
+
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    direction: Direction,
+    process: Option<u32>,
+    state: &Mutex<ProxyState>,
+) {
+    let _ = (
+        to.set_nodelay(true),
+        from.set_read_timeout(Some(READ_BOUND)),
+    );
+    let mut buffer = vec![0; 64 * 1024];
+    loop {
+        let length = match from.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(length) => length,
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => 0,
+            Err(_) => break,
+        };
+        loop {
+            let faults = state.lock().unwrap().faults.clone();
+            if faults.is_dropping {
+                let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
+                return;
+            }
+            let is_held = faults.is_cut
+                || (faults.holds_answers && direction == Direction::Answer)
+                || process.is_some_and(|process| faults.cut_processes.contains(&process));
+            if length == 0 || !is_held {
+                thread::sleep(if length == 0 {
+                    Duration::ZERO
+                } else {
+                    faults.delay
+                });
+                break;
+            }
+            thread::sleep(HOLD_POLL);
+        }
+        if to.write_all(&buffer[..length]).is_err() {
+            break;
+        }
+    }
+    let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
+}
+
+/// Finds the process that opened a loopback connection, so that faults can depend on the sender.
+fn process_of(peer: SocketAddr) -> Option<u32> {
+    let local = format!("0100007F:{:04X}", peer.port());
+    let sockets = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    let mut rows = sockets
+        .lines()
+        .map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let row = rows.find(|row| row.get(1) == Some(&local.as_str()))?;
+    let name = format!("socket:[{}]", row.get(9)?);
+    let children =
+        std::fs::read_to_string(format!("/proc/self/task/{}/children", std::process::id()));
+    let mut processes: Vec<u32> = children
+        .ok()?
+        .split_whitespace()
+        .flat_map(str::parse)
+        .collect();
+    for task in std::fs::read_dir("/proc/self/task").ok()?.flatten() {
+        let children = std::fs::read_to_string(task.path().join("children")).unwrap_or_default();
+        processes.extend(children.split_whitespace().flat_map(str::parse::<u32>));
+    }
+    processes.into_iter().find(|process| {
+        let Ok(files) = std::fs::read_dir(format!("/proc/{process}/fd")) else {
+            return false;
+        };
+        let mut links = files
+            .flatten()
+            .filter_map(|file| std::fs::read_link(file.path()).ok());
+        links.any(|link| link.to_str() == Some(&name))
+    })
+}
