Test the operator command against real replicas

The fault proxy first knew only connections of replicas and of the test itself and closed those of the operator command after 0.5 s of searching, which failed four tests; a connection of any other process now passes. The bound on one try of an operator call is 1.5 s instead of 3 s, because a silently cut replica delayed status by the whole try.

--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -31,7 +31,7 @@
 const OPERATOR_BOUND: Duration = Duration::from_secs(10);
 // A replica that does not answer within this time is given up for the next one.
 const TRY_BOUND: Duration = Duration::from_secs(1);
-const OPERATOR_TRY_BOUND: Duration = Duration::from_secs(3);
+const OPERATOR_TRY_BOUND: Duration = Duration::from_millis(1_500);
 // Covers an election without a busy loop.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
--- a/src/control_server/relay.rs
+++ b/src/control_server/relay.rs
@@ -24,8 +24,9 @@
 use super::links::LinkTable;
 use super::requests::{InputSender, ProposalReply, ReplicaInput};
 
+// Below the bounds of clients, so that they learn why a relayed call failed.
 const RELAY_BOUND: Duration = Duration::from_millis(800);
-const APPLY_RELAY_BOUND: Duration = Duration::from_millis(2_500);
+const OPERATOR_RELAY_BOUND: Duration = Duration::from_millis(1_200);
 const MAX_CHANGE_ID_BYTES: usize = 64;
 // Keys from further ahead would be held long after their work; clocks of nodes and replicas agree better than this.
 const MAX_KEY_AHEAD_MS: u64 = 300_000;
@@ -169,7 +170,10 @@
         };
         request.relayed = true;
         let call = |channel| async move { operator(channel).apply_plans(request).await };
-        let reply = self.links.call(&address, APPLY_RELAY_BOUND, call).await?;
+        let reply = self
+            .links
+            .call(&address, OPERATOR_RELAY_BOUND, call)
+            .await?;
         Ok(Response::new(reply))
     }
 
@@ -183,7 +187,10 @@
         };
         let request = ShowRequest { relayed: true };
         let call = |channel| async move { operator(channel).show_plans(request).await };
-        let reply = self.links.call(&address, APPLY_RELAY_BOUND, call).await?;
+        let reply = self
+            .links
+            .call(&address, OPERATOR_RELAY_BOUND, call)
+            .await?;
         Ok(Response::new(reply))
     }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,6 +4,8 @@
 mod control_cluster;
 #[path = "support/fault_proxy.rs"]
 mod fault_proxy;
+#[path = "control/operator.rs"]
+mod operator;
 
 use std::fs;
 use std::io::Write;
@@ -271,7 +273,7 @@
     frame.extend([0xff; 4096]);
     for garbage in [
         &b"GET / HTTP/1.1\r\n\r\n"[..],
-        &[0xa5; 70_000],
+        &vec![0xa5; 70_000],
         &frame,
         &[0; 9],
     ] {
--- a/tests/support/control_cluster.rs
+++ b/tests/support/control_cluster.rs
@@ -12,7 +12,7 @@
 use ebonyjunction::generated::{ApplyReply, ApplyRequest, PlanRow, PlanSet, StatusReply};
 use tempfile::TempDir;
 
-use crate::fault_proxy::FaultProxy;
+use crate::fault_proxy::{FaultProxy, register_process};
 
 pub const TOKEN: &str = "0123456789abcdef";
 /// Bound on polling; far above what is expected, so that a busy machine does not change the verdict.
@@ -119,20 +119,6 @@
     pub fn replica(&mut self, replica_id: u64) -> &mut ReplicaProcess {
         &mut self.replicas[replica_id as usize - 1]
     }
-
-    /// Writes settings of the operator command and returns their path.
-    pub fn operator_settings(&self, name: &str, control: &[SocketAddr]) -> PathBuf {
-        let changes = self.folder.path().join(format!("{name}-changes"));
-        let control: Vec<String> = control.iter().map(|it| format!("\"{it}\"")).collect();
-        let text = format!(
-            "control = [{}]\nmesh_token = \"{TOKEN}\"\nchange_folder = \"{}\"\n",
-            control.join(", "),
-            changes.display(),
-        );
-        let path = self.folder.path().join(format!("{name}.toml"));
-        fs::write(&path, text).unwrap();
-        path
-    }
 }
 
 impl ReplicaProcess {
@@ -147,6 +133,7 @@
             .stderr(log)
             .spawn()
             .unwrap();
+        register_process(child.id());
         self.child = Some(child);
     }
 
@@ -204,6 +191,10 @@
 impl Drop for ReplicaProcess {
     fn drop(&mut self) {
         self.kill();
+        if std::thread::panicking() {
+            let log = fs::read_to_string(&self.log).unwrap_or_default();
+            eprintln!("log of replica {}:\n{log}", self.replica_id);
+        }
     }
 }
 
--- a/tests/support/fault_proxy.rs
+++ b/tests/support/fault_proxy.rs
@@ -9,6 +9,9 @@
 
 const HOLD_POLL: Duration = Duration::from_millis(5);
 const READ_BOUND: Duration = Duration::from_millis(200);
+const LOOKUPS: usize = 100;
+
+static PROCESSES: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
 
 /// Faults of one proxy. Held bytes are delivered when the fault ends, as TCP does.
 #[derive(Debug, Default, Clone)]
@@ -53,7 +56,7 @@
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 let state = Arc::clone(&accepted);
-                thread::spawn(move || serve(client, &state));
+                thread::spawn(move || serve(&client, &state));
             }
         });
         Self { address, state }
@@ -68,7 +71,7 @@
     }
 }
 
-fn serve(client: TcpStream, state: &Arc<Mutex<ProxyState>>) {
+fn serve(client: &TcpStream, state: &Arc<Mutex<ProxyState>>) {
     let (target, faults) = {
         let state = state.lock().unwrap();
         (state.target, state.faults.clone())
@@ -79,10 +82,12 @@
     let Ok(server) = TcpStream::connect(target) else {
         return;
     };
-    let process = client.peer_addr().ok().and_then(process_of);
+    let Some(process) = find_process(client) else {
+        return;
+    };
     for (from, to, direction) in [
-        (&client, &server, Direction::Request),
-        (&server, &client, Direction::Answer),
+        (client, &server, Direction::Request),
+        (&server, client, Direction::Answer),
     ] {
         let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
             return;
@@ -96,7 +101,7 @@
     mut from: TcpStream,
     mut to: TcpStream,
     direction: Direction,
-    process: Option<u32>,
+    process: u32,
     state: &Mutex<ProxyState>,
 ) {
     let _ = (
@@ -119,7 +124,7 @@
             }
             let is_held = faults.is_cut
                 || (faults.holds_answers && direction == Direction::Answer)
-                || process.is_some_and(|process| faults.cut_processes.contains(&process));
+                || faults.cut_processes.contains(&process);
             if length == 0 || !is_held {
                 thread::sleep(if length == 0 {
                     Duration::ZERO
@@ -137,33 +142,42 @@
     let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
 }
 
-/// Finds the process that opened a loopback connection, so that faults can depend on the sender.
-fn process_of(peer: SocketAddr) -> Option<u32> {
-    let local = format!("0100007F:{:04X}", peer.port());
-    let sockets = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    let mut rows = sockets
-        .lines()
-        .map(|line| line.split_whitespace().collect::<Vec<_>>());
-    let row = rows.find(|row| row.get(1) == Some(&local.as_str()))?;
-    let name = format!("socket:[{}]", row.get(9)?);
-    let children =
-        std::fs::read_to_string(format!("/proc/self/task/{}/children", std::process::id()));
-    let mut processes: Vec<u32> = children
-        .ok()?
-        .split_whitespace()
-        .flat_map(str::parse)
-        .collect();
-    for task in std::fs::read_dir("/proc/self/task").ok()?.flatten() {
-        let children = std::fs::read_to_string(task.path().join("children")).unwrap_or_default();
-        processes.extend(children.split_whitespace().flat_map(str::parse::<u32>));
-    }
-    processes.into_iter().find(|process| {
+/// Makes a process known as a possible sender.
+pub fn register_process(process: u32) {
+    PROCESSES.lock().unwrap().insert(process);
+}
+
+/// Finds the registered process that opened a loopback connection, so that faults can depend on the sender; 0 stands
+/// for any other process.
+fn find_process(client: &TcpStream) -> Option<u32> {
+    let peer = client.peer_addr().ok()?;
+    // The socket table is not read at one moment and may lack a row, so it is read again if needed.
+    let socket = (0..LOOKUPS).find_map(|_| {
+        let socket = socket_of(peer);
+        if socket.is_none() {
+            thread::sleep(HOLD_POLL);
+        }
+        socket
+    })?;
+    let processes = PROCESSES.lock().unwrap().clone();
+    let owner = processes.into_iter().find(|process| {
         let Ok(files) = std::fs::read_dir(format!("/proc/{process}/fd")) else {
             return false;
         };
         let mut links = files
             .flatten()
             .filter_map(|file| std::fs::read_link(file.path()).ok());
-        links.any(|link| link.to_str() == Some(&name))
-    })
+        links.any(|link| link.to_str() == Some(&socket))
+    });
+    Some(owner.unwrap_or_default())
+}
+
+fn socket_of(peer: SocketAddr) -> Option<String> {
+    let local = format!("0100007F:{:04X}", peer.port());
+    let sockets = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    let mut rows = sockets
+        .lines()
+        .map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let row = rows.find(|row| row.get(1) == Some(&local.as_str()))?;
+    Some(format!("socket:[{}]", row.get(9)?))
 }
