Find the sender of a proxied connection when a fault needs it

One of three runs of the isolated-leader test had confirmations for 4 s after the cut. The proxy looked up the sending process when it accepted the connection, and a replica can connect before the test has noted its process id; such a connection was never cut. The proxy now keeps the socket and compares it when a cut is in force. Nine runs since then had their last confirmation 153 to 209 ms after the cut.

--- a/tests/support/control_cluster.rs
+++ b/tests/support/control_cluster.rs
@@ -12,7 +12,7 @@
 use ebonyjunction::generated::{ApplyReply, ApplyRequest, PlanRow, PlanSet, StatusReply};
 use tempfile::TempDir;
 
-use crate::fault_proxy::{FaultProxy, register_process};
+use crate::fault_proxy::FaultProxy;
 
 pub const TOKEN: &str = "0123456789abcdef";
 /// Bound on polling; far above what is expected, so that a busy machine does not change the verdict.
@@ -32,8 +32,8 @@
 
 #[derive(Debug)]
 pub struct ControlCluster {
-    pub folder: TempDir,
     pub replicas: Vec<ReplicaProcess>,
+    pub folder: TempDir,
 }
 
 impl ControlCluster {
@@ -60,7 +60,7 @@
             fs::write(&replica.settings, settings_text(&replica, &proxies, extra)).unwrap();
             replicas.push(replica);
         }
-        let mut cluster = Self { folder, replicas };
+        let mut cluster = Self { replicas, folder };
         for replica in &mut cluster.replicas {
             replica.spawn();
         }
@@ -133,7 +133,6 @@
             .stderr(log)
             .spawn()
             .unwrap();
-        register_process(child.id());
         self.child = Some(child);
     }
 
@@ -172,6 +171,8 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            // Another process may get the port.
+            self.proxy.clear_target();
         }
     }
 
--- a/tests/support/fault_proxy.rs
+++ b/tests/support/fault_proxy.rs
@@ -11,8 +11,6 @@
 const READ_BOUND: Duration = Duration::from_millis(200);
 const LOOKUPS: usize = 100;
 
-static PROCESSES: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
-
 /// Faults of one proxy. Held bytes are delivered when the fault ends, as TCP does.
 #[derive(Debug, Default, Clone)]
 pub struct ProxyFaults {
@@ -66,6 +64,10 @@
         self.state.lock().unwrap().target = Some(target);
     }
 
+    pub fn clear_target(&self) {
+        self.state.lock().unwrap().target = None;
+    }
+
     pub fn set_faults(&self, change: impl FnOnce(&mut ProxyFaults)) {
         change(&mut self.state.lock().unwrap().faults);
     }
@@ -82,7 +84,7 @@
     let Ok(server) = TcpStream::connect(target) else {
         return;
     };
-    let Some(process) = find_process(client) else {
+    let Some(socket) = find_socket(client) else {
         return;
     };
     for (from, to, direction) in [
@@ -93,7 +95,8 @@
             return;
         };
         let state = Arc::clone(state);
-        thread::spawn(move || copy(from, to, direction, process, &state));
+        let socket = socket.clone();
+        thread::spawn(move || copy(from, to, direction, &socket, &state));
     }
 }
 
@@ -101,7 +104,7 @@
     mut from: TcpStream,
     mut to: TcpStream,
     direction: Direction,
-    process: u32,
+    socket: &str,
     state: &Mutex<ProxyState>,
 ) {
     let _ = (
@@ -124,7 +127,10 @@
             }
             let is_held = faults.is_cut
                 || (faults.holds_answers && direction == Direction::Answer)
-                || faults.cut_processes.contains(&process);
+                || faults
+                    .cut_processes
+                    .iter()
+                    .any(|it| holds_socket(*it, socket));
             if length == 0 || !is_held {
                 thread::sleep(if length == 0 {
                     Duration::ZERO
@@ -142,34 +148,27 @@
     let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
 }
 
-/// Makes a process known as a possible sender.
-pub fn register_process(process: u32) {
-    PROCESSES.lock().unwrap().insert(process);
-}
-
-/// Finds the registered process that opened a loopback connection, so that faults can depend on the sender; 0 stands
-/// for any other process.
-fn find_process(client: &TcpStream) -> Option<u32> {
+/// Finds the sender's end of a loopback connection, so that faults can depend on the process that holds it.
+fn find_socket(client: &TcpStream) -> Option<String> {
     let peer = client.peer_addr().ok()?;
     // The socket table is not read at one moment and may lack a row, so it is read again if needed.
-    let socket = (0..LOOKUPS).find_map(|_| {
+    (0..LOOKUPS).find_map(|_| {
         let socket = socket_of(peer);
         if socket.is_none() {
             thread::sleep(HOLD_POLL);
         }
         socket
-    })?;
-    let processes = PROCESSES.lock().unwrap().clone();
-    let owner = processes.into_iter().find(|process| {
-        let Ok(files) = std::fs::read_dir(format!("/proc/{process}/fd")) else {
-            return false;
-        };
-        let mut links = files
-            .flatten()
-            .filter_map(|file| std::fs::read_link(file.path()).ok());
-        links.any(|link| link.to_str() == Some(&socket))
-    });
-    Some(owner.unwrap_or_default())
+    })
+}
+
+fn holds_socket(process: u32, socket: &str) -> bool {
+    let Ok(files) = std::fs::read_dir(format!("/proc/{process}/fd")) else {
+        return false;
+    };
+    let mut links = files
+        .flatten()
+        .filter_map(|file| std::fs::read_link(file.path()).ok());
+    links.any(|link| link.to_str() == Some(socket))
 }
 
 fn socket_of(peer: SocketAddr) -> Option<String> {
