Test refusals, claims, cancellation, stops and large bodies of the node

Ruled out: the registry of the control program as test partner; the fake one can be silent, stale or refuse claims. Conclusion: a target without a grant for a path, a cancelled attempt and a lost answer get a truthful outcome.

--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -134,7 +134,7 @@
     let age = Duration::from_millis(reply.freshness_age_ms.into());
     let confirmed_at = TickTime::from_start(sent_at.since_start().saturating_sub(age));
     if lock(&state.plans).confirm(reply.plan_version, confirmed_at) {
-        state.advance(LifecycleEvent::PlansArrived);
+        state.advance(&LifecycleEvent::PlansArrived);
     }
     let shares: Vec<_> = reply
         .shares
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -16,7 +16,7 @@
 }
 
 /// What moves the process to another phase.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, PartialEq, Eq)]
 pub(crate) enum LifecycleEvent {
     /// The first plans arrived.
     PlansArrived,
@@ -49,9 +49,9 @@
     }
 
     /// Applies an event and returns the phase before and after.
-    pub(crate) fn apply(&mut self, event: LifecycleEvent) -> (NodePhase, NodePhase) {
+    pub(crate) fn apply(&mut self, event: &LifecycleEvent) -> (NodePhase, NodePhase) {
         let before = self.phase();
-        self.machine.handle(&event);
+        self.machine.handle(event);
         (before, self.phase())
     }
 
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -82,7 +82,7 @@
     let started = Instant::now();
     let bound = state.config.stop_timeout;
     let deadline = started + bound.saturating_sub(STOP_RESERVE).max(bound / 2);
-    state.advance(LifecycleEvent::StopRequested);
+    state.advance(&LifecycleEvent::StopRequested);
     lock(&state.target).withdraw();
     // A replica that does not answer must not hold up the end of the work.
     let _ = timeout_at(deadline, send_last_heartbeat(state)).await;
@@ -94,7 +94,7 @@
     let closed = timeout_at(started + bound, state.tasks.wait())
         .await
         .is_ok();
-    state.advance(LifecycleEvent::WorkEnded);
+    state.advance(&LifecycleEvent::WorkEnded);
     let left = lock(&state.attempts).len();
     log::info!("event=stopped drained={drained} closed={closed} attempts_left={left}");
 }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -152,7 +152,7 @@
     }
 
     /// Applies an event of the lifecycle and logs a change of phase.
-    pub(crate) fn advance(&self, event: LifecycleEvent) -> bool {
+    pub(crate) fn advance(&self, event: &LifecycleEvent) -> bool {
         let (before, after) = lock(&self.lifecycle).apply(event);
         if before != after {
             log::info!("event=phase from={before:?} to={after:?}");
@@ -187,6 +187,9 @@
             Err(wait) => wait,
         };
         self.rate_wanted.notify_one();
+        if lock(&self.shares).held_rate(self.now(), &caller.name) > 0 {
+            return Err(wait);
+        }
         let waiters = self.rate_waiters.fetch_add(1, Ordering::Relaxed);
         let waiter = ShareWaiter(&self.rate_waiters);
         if waiters >= MAX_SHARE_WAITERS {
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -11,7 +11,7 @@
 use crate::types::{AttemptContext, AttemptId, AttemptOutcome, TickTime};
 
 /// How long an ended attempt is remembered.
-const ENDED_RETENTION: Duration = Duration::from_secs(60);
+const ENDED_RETENTION: Duration = Duration::from_mins(1);
 /// A cancellation that asks about an older attempt gets no proof.
 const PROOF_AGE: Duration = Duration::from_secs(50);
 
@@ -82,10 +82,9 @@
         }
         match self.ended.get(&id) {
             Some(AttemptOutcome::NotRun) => CancelVerdict::NotRun,
-            Some(_) => CancelVerdict::Unknown,
             // An attempt that is neither in flight nor remembered never arrived, as long as the memory reaches back.
             None if age < PROOF_AGE => CancelVerdict::NotRun,
-            None => CancelVerdict::Unknown,
+            _ => CancelVerdict::Unknown,
         }
     }
 
--- a/src/proxy/body.rs
+++ b/src/proxy/body.rs
@@ -66,7 +66,7 @@
     let mut parts = VecDeque::new();
     let mut read_bytes = 0;
     let is_large = length.is_some_and(|length| length > bounds.whole_bytes as u64);
-    while !is_large {
+    while !is_large && read_bytes <= bounds.whole_bytes {
         let Some(frame) = incoming.frame().await else {
             return Ok(ReadBody::Whole(join_parts(parts, read_bytes)));
         };
@@ -77,9 +77,6 @@
         };
         read_bytes += data.len();
         parts.push_back(data);
-        if read_bytes > bounds.whole_bytes {
-            break;
-        }
     }
     if read_bytes as u64 > bounds.max_bytes {
         return Err(ReadFailure::TooLarge);
--- a/src/proxy/cancel.rs
+++ b/src/proxy/cancel.rs
@@ -42,7 +42,7 @@
     ) -> Self {
         Self {
             state: Arc::clone(state),
-            choice: choice.clone(),
+            choice: *choice,
             request_id,
             attempt_id,
             sent_at: state.now(),
--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -56,10 +56,13 @@
     client: &MeshClient,
     request: Request<ProxyBody>,
 ) -> std::result::Result<Response<Incoming>, SendFailure> {
-    client.request(request).await.map_err(describe)
+    client
+        .request(request)
+        .await
+        .map_err(|error| describe(&error))
 }
 
-fn describe(error: ClientError) -> SendFailure {
+fn describe(error: &ClientError) -> SendFailure {
     let is_connect = error.is_connect();
     // A cancelled request is handed back by the connection before any byte of it is written.
     let hyper_error = error.source().and_then(|source| source.downcast_ref());
--- a/src/proxy/entry_memory.rs
+++ b/src/proxy/entry_memory.rs
@@ -10,7 +10,7 @@
 
 use super::attempts::SharedAllowance;
 
-const UNCERTAIN_RETENTION: Duration = Duration::from_secs(60);
+const UNCERTAIN_RETENTION: Duration = Duration::from_mins(1);
 
 /// Recognises resends and remembers which requests may have run.
 #[derive(Debug, Default)]
--- a/src/proxy/hand_over.rs
+++ b/src/proxy/hand_over.rs
@@ -158,7 +158,7 @@
             Err(Refusal::unknown(RefusalReason::Cancelled, detail))
         }
     };
-    finish(attempt, answer)
+    Ok(finish(attempt, answer))
 }
 
 async fn run_claimed(attempt: ServedAttempt, scope: AnswerScope) -> Result<HopAnswer, Refusal> {
@@ -202,7 +202,7 @@
         // The claim stays, so that work which may have run never runs again.
         Err(_) => {}
     }
-    finish(attempt, answer)
+    Ok(finish(attempt, answer))
 }
 
 fn keep_answer(state: &NodeState, scope: &AnswerScope, answer: &InboundAnswer) {
@@ -281,16 +281,13 @@
 }
 
 // Ends the attempt, or lets it end with the last byte of a streamed answer.
-fn finish(
-    mut attempt: ServedAttempt,
-    answer: Result<InboundAnswer, Refusal>,
-) -> Result<HopAnswer, Refusal> {
+fn finish(mut attempt: ServedAttempt, answer: Result<InboundAnswer, Refusal>) -> HopAnswer {
     let answer = match answer {
         Ok(answer) => answer,
         Err(refusal) => {
             attempt.guard.set_outcome(refusal.outcome);
             let unspent = attempt.guard.take_unspent();
-            return Ok(refusal.into_answer(attempt.context.request_id, unspent));
+            return refusal.into_answer(attempt.context.request_id, unspent);
         }
     };
     let report = ran_report(&attempt);
@@ -302,10 +299,10 @@
         }
         ReadBody::Streamed(body) => watch(body, attempt, is_failure).into_proxy_body(),
     };
-    Ok(HopAnswer {
+    HopAnswer {
         response: build_response(answer.status, answer.headers, body),
         report,
-    })
+    }
 }
 
 fn ran_report(attempt: &ServedAttempt) -> AnswerReport {
--- a/src/proxy/local.rs
+++ b/src/proxy/local.rs
@@ -45,12 +45,7 @@
         .as_ref()
         .map_or_else(RequestId::random, |parent| parent.context.request_id);
     let answer = match prepare(state, request, request_id, parent).await {
-        Ok((call, token)) => {
-            let call_service = call.context.service.clone();
-            let answer = run(state, call, &token).await;
-            log::trace!("event=child_answered service={call_service}");
-            answer
-        }
+        Ok((call, token)) => run(state, call, &token).await,
         Err(refusal) => Err(refusal),
     };
     let answer = answer.unwrap_or_else(|refusal| {
--- a/src/proxy/mesh.rs
+++ b/src/proxy/mesh.rs
@@ -8,7 +8,7 @@
 
 use crate::error::MeshError;
 use crate::node::{NodeState, lock};
-use crate::types::{AttemptId, AttemptOutcome, NodeId, RefusalReason, RequestId};
+use crate::types::{AttemptContext, AttemptId, AttemptOutcome, NodeId, RefusalReason, RequestId};
 
 use super::answer::json_response;
 use super::attempts::CancelVerdict;
@@ -48,9 +48,9 @@
     }
     let answer = match receive(state, request).await {
         Ok((context, call)) => serve(state, context, call).await,
-        Err(refusal) => {
+        Err((refusal, unspent)) => {
             state.count_refusal(refusal.reason);
-            let mut answer = refusal.into_answer(id, 0);
+            let mut answer = refusal.into_answer(id, unspent);
             answer.report.load = load_report(state, "/");
             answer
         }
@@ -75,12 +75,15 @@
     given.len() == expected.len() && difference == 0
 }
 
+// Reads an attempt; an error carries what is unspent of the attempt's allowance.
 async fn receive(
     state: &Arc<NodeState>,
     request: Request<Incoming>,
-) -> Result<(crate::types::AttemptContext, OutboundCall), Refusal> {
-    let bad_request =
-        |error: MeshError| Refusal::not_run(RefusalReason::BadRequest, error.to_string());
+) -> Result<(AttemptContext, OutboundCall), (Refusal, u8)> {
+    let bad_request = |error: MeshError| {
+        let refusal = Refusal::not_run(RefusalReason::BadRequest, error.to_string());
+        (refusal, 0)
+    };
     let path = ServicePath::parse(request.uri()).map_err(bad_request)?;
     let place = CallPlace {
         service: path.service.clone(),
@@ -89,10 +92,10 @@
     let now = state.now();
     let context = decode_context(request.headers(), place, now).map_err(bad_request)?;
     let time_left = context.deadline.saturating_since(now);
-    let unspent_share = context.allowance;
-    let received = OutboundCall::receive(state, request, path, time_left).await;
-    let _ = unspent_share;
-    Ok((context, received?))
+    match OutboundCall::receive(state, request, path, time_left).await {
+        Ok(call) => Ok((context, call)),
+        Err(refusal) => Err((refusal, context.allowance)),
+    }
 }
 
 fn mesh_response(
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -2,110 +2,17 @@
 
 mod support;
 
-use support::http::get;
-use support::poll;
-use support::process::{NodeProcess, StandIn};
-use support::registry::FakeRegistry;
-
-const PLANS: &str = r#"
-[[plan]]
-name = "open"
-rate_per_s = 0
-
-[[plan]]
-name = "small"
-rate_per_s = 1
-
-[[plan]]
-name = "orders"
-rate_per_s = 0
-
-[[caller]]
-name = "reseller"
-plan = "open"
-credential_sha256 = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
-
-[[caller]]
-name = "guest"
-plan = "small"
-credential_sha256 = "84983c60f7daadc1cb8698621f802c0d9f9a3c3c295c810748fb048115c186ec"
-
-[[caller]]
-name = "svc-orders"
-plan = "orders"
-service = "orders"
-"#;
-const GRANTS: &str = r#"
-[[grant]]
-plan = "open"
-service = "orders"
-path_prefix = "/"
-class = "read"
-deadline_ms = 5000
-
-[[grant]]
-plan = "open"
-service = "orders"
-path_prefix = "/pay"
-class = "critical"
-at_most_once = true
-deadline_ms = 5000
-
-[[grant]]
-plan = "open"
-service = "ghost"
-path_prefix = "/"
-class = "read"
-
-[[grant]]
-plan = "small"
-service = "orders"
-path_prefix = "/"
-class = "read"
-
-[[grant]]
-plan = "orders"
-service = "stock"
-path_prefix = "/"
-class = "read"
-deadline_ms = 5000
-"#;
-const RESELLER: (&str, &str) = ("authorization", "Bearer secret");
-
-/// One entry node without a target, and a node with a stand-in.
-#[derive(Debug)]
-struct Mesh {
-    registry: FakeRegistry,
-    entry: NodeProcess,
-    node: NodeProcess,
-    target: StandIn,
-}
+use std::time::{Duration, Instant};
 
-impl Mesh {
-    async fn start(extra_settings: &str, stand_in_arguments: &[&str]) -> Self {
-        let registry = FakeRegistry::start(PLANS, GRANTS).await;
-        let entry = NodeProcess::start(registry.address, extra_settings).await;
-        let node = NodeProcess::start(registry.address, extra_settings).await;
-        let target = StandIn::start("orders", &node, stand_in_arguments).await;
-        let mesh = Self {
-            registry,
-            entry,
-            node,
-            target,
-        };
-        mesh.wait_ready(&mesh.entry).await;
-        mesh.wait_ready(&mesh.node).await;
-        mesh
-    }
+use ebonyjunction::generated::ClaimOutcome;
+use http::Method;
+use serde_json::json;
 
-    async fn wait_ready(&self, node: &NodeProcess) {
-        poll("a served request", async || {
-            let answer = get(node.entry, "/orders/ready", &[RESELLER]).await;
-            (answer.status == 200).then_some(())
-        })
-        .await;
-    }
-}
+use support::http::{behave, call, counts, get, post};
+use support::mesh::{Mesh, RESELLER, mesh_headers, wait_count};
+use support::poll;
+use support::process::MESH_TOKEN;
+use support::registry::ClaimMode;
 
 // Guards against a path of a request that loses its answer, its id or its outcome on the way.
 #[tokio::test]
@@ -122,3 +29,285 @@
         assert!(answer.headers.get("ebj-level").is_none());
     }
 }
+
+// Guards against refusals with a wrong status, outcome or reason, and against refused work that reaches the target.
+#[tokio::test]
+async fn entry_refuses_with_reason() {
+    let mesh = Mesh::start("", &[]).await;
+    let before = counts(mesh.target.address).await["started"].clone();
+    let version_4 = "5b3d34a5-6a1b-4c8e-8a3e-1f2d3c4b5a69";
+    let cases: &[(&str, &[(&str, &str)], &str)] = &[
+        ("/orders/a", &[], "401 not-run unknown-caller"),
+        (
+            "/orders/a",
+            &[("authorization", "Bearer wrong")],
+            "401 not-run unknown-caller",
+        ),
+        (
+            "/orders/a",
+            &[RESELLER, RESELLER],
+            "401 not-run unknown-caller",
+        ),
+        ("/stock/a", &[RESELLER], "403 not-run not-granted"),
+        ("/Orders/a", &[RESELLER], "400 not-run bad-request"),
+        ("/orders/x/../pay", &[RESELLER], "400 not-run bad-request"),
+        ("/orders/%70ay", &[RESELLER], "400 not-run bad-request"),
+        ("/orders//pay", &[RESELLER], "400 not-run bad-request"),
+        ("/orders/pay", &[RESELLER], "400 not-run key-required"),
+        (
+            "/orders/pay",
+            &[RESELLER, ("idempotency-key", version_4)],
+            "400 not-run bad-request",
+        ),
+        (
+            "/orders/a",
+            &[RESELLER, ("ebj-request-id", "x")],
+            "400 not-run bad-request",
+        ),
+        (
+            "/orders/a",
+            &[RESELLER, ("ebj-timeout-ms", "-1")],
+            "400 not-run bad-request",
+        ),
+        (
+            "/orders/a",
+            &[RESELLER, ("ebj-timeout-ms", "0")],
+            "504 not-run deadline-exceeded",
+        ),
+    ];
+    for (path, headers, expected) in cases {
+        let answer = get(mesh.entry.entry, path, headers).await;
+        assert_eq!(answer.verdict(), *expected, "{path} {headers:?}");
+        assert_eq!(answer.json()["outcome"], "not-run");
+        assert_eq!(answer.json()["request_id"], answer.header("ebj-request-id"));
+    }
+    poll("an unknown service", async || {
+        let answer = get(mesh.entry.entry, "/ghost/a", &[RESELLER]).await;
+        assert_eq!(answer.header("ebj-outcome"), "not-run");
+        (answer.verdict() == "404 not-run unknown-service").then_some(())
+    })
+    .await;
+    assert_eq!(counts(mesh.target.address).await["started"], before);
+}
+
+// Guards against a rate that is not enforced, or that is enforced before a share can arrive.
+#[tokio::test]
+async fn entry_refuses_beyond_rate() {
+    let mesh = Mesh::start("", &[]).await;
+    mesh.registry.state().deposit = 2;
+    let guest = ("authorization", "Bearer guest");
+    let mut verdicts = Vec::new();
+    for _ in 0..3 {
+        let answer = get(mesh.entry.entry, "/orders/a", &[guest]).await;
+        if answer.status == 429 {
+            assert!(answer.header("retry-after").parse::<u64>().unwrap() >= 1);
+        }
+        verdicts.push(answer.verdict());
+    }
+    assert_eq!(verdicts, ["200 ran", "200 ran", "429 not-run plan-rate"]);
+}
+
+// Guards against work that runs twice under one key, and against a resend that loses the first answer.
+#[tokio::test]
+async fn payment_runs_once() {
+    let mesh = Mesh::start("", &["--service-ms", "100"]).await;
+    let key = uuid::Uuid::now_v7().to_string();
+    let headers = [RESELLER, ("idempotency-key", key.as_str())];
+    let (first, second) = tokio::join!(
+        post(mesh.entry.entry, "/orders/pay", &headers),
+        post(mesh.node.entry, "/orders/pay", &headers),
+    );
+    let mut verdicts = [first.verdict(), second.verdict()];
+    verdicts.sort();
+    assert_eq!(verdicts, ["200 ran", "409 unknown claim-in-progress"]);
+    let resend = poll("the kept answer", async || {
+        let answer = post(mesh.entry.entry, "/orders/pay", &headers).await;
+        (answer.verdict() == "200 ran").then_some(answer)
+    })
+    .await;
+    assert_eq!(resend.json()["path"], "/pay");
+    assert_eq!(counts(mesh.target.address).await["keys"][&key], 1);
+    let settled = mesh.registry.state().settled.clone();
+    assert_eq!(settled.len(), 1);
+    assert_eq!(settled[0].1, ClaimOutcome::Done);
+}
+
+// Guards against a payment that is reported as not run although it ran after its caller had gone.
+#[tokio::test]
+async fn payment_outlives_its_caller() {
+    let mesh = Mesh::start("", &["--service-ms", "300"]).await;
+    let key = uuid::Uuid::now_v7().to_string();
+    let headers = [RESELLER, ("idempotency-key", key.as_str())];
+    let first = post(mesh.entry.entry, "/orders/pay", &headers);
+    let first = tokio::time::timeout(Duration::from_millis(150), first).await;
+    assert!(first.is_err());
+    poll("the answer of the first send", async || {
+        let answer = post(mesh.entry.entry, "/orders/pay", &headers).await;
+        assert_ne!(
+            answer.header("ebj-outcome"),
+            "not-run",
+            "{}",
+            answer.verdict()
+        );
+        (answer.verdict() == "200 ran").then_some(())
+    })
+    .await;
+    assert_eq!(counts(mesh.target.address).await["keys"][&key], 1);
+}
+
+// Guards against a payment that is handed over without a claim.
+#[tokio::test]
+async fn payment_waits_for_claim_log() {
+    let mesh = Mesh::start("", &[]).await;
+    mesh.registry.state().claim_mode = ClaimMode::Unavailable;
+    let key = uuid::Uuid::now_v7().to_string();
+    let headers = [
+        RESELLER,
+        ("idempotency-key", key.as_str()),
+        ("ebj-timeout-ms", "400"),
+    ];
+    let refused = post(mesh.entry.entry, "/orders/pay", &headers).await;
+    assert_eq!(refused.json()["outcome"], "not-run");
+    assert!(counts(mesh.target.address).await["keys"][&key].is_null());
+    mesh.registry.state().claim_mode = ClaimMode::Normal;
+    let headers = [RESELLER, ("idempotency-key", key.as_str())];
+    let answer = post(mesh.entry.entry, "/orders/pay", &headers).await;
+    assert_eq!(answer.verdict(), "200 ran");
+    assert_eq!(counts(mesh.target.address).await["keys"][&key], 1);
+}
+
+// Guards against a target that works without knowing the deadline, and against a caller that waits beyond it.
+#[tokio::test]
+async fn deadline_is_passed_on() {
+    let mesh = Mesh::start("", &[]).await;
+    let headers = [RESELLER, ("ebj-timeout-ms", "600")];
+    let answer = get(mesh.entry.entry, "/orders/a", &headers).await;
+    let body = answer.json();
+    let passed: u64 = body["timeout_ms"].as_str().unwrap().parse().unwrap();
+    assert!((1..=600).contains(&passed), "{passed}");
+    let start = Instant::now();
+    let answer = get(mesh.entry.entry, "/orders/a?service_ms=9000", &headers).await;
+    assert_eq!(answer.verdict(), "504 unknown deadline-exceeded");
+    assert!(start.elapsed() < Duration::from_secs(4));
+    wait_count(&mesh.target, "cancelled", 1).await;
+}
+
+// Guards against a chain that loses the request id, and against calls on behalf of an attempt that does not exist.
+#[tokio::test]
+async fn chain_keeps_request_id() {
+    let mesh = Mesh::start("", &[]).await;
+    let (_node, stock) = mesh.add_stock().await;
+    let id = uuid::Uuid::new_v4().to_string();
+    let headers = [RESELLER, ("ebj-request-id", id.as_str())];
+    let answer = get(mesh.entry.entry, "/orders/a", &headers).await;
+    assert_eq!(answer.verdict(), "200 ran");
+    let body = answer.json();
+    assert_eq!(body["calls"][0]["outcome"], "ran");
+    assert_eq!(body["calls"][0]["answer"]["request_id"], id.as_str());
+    assert_eq!(counts(stock.address).await["requests"][&id], 1);
+    let forged = [
+        ("ebj-attempt-id", id.as_str()),
+        ("ebj-request-id", id.as_str()),
+    ];
+    let answer = get(mesh.node.local, "/stock/check", &forged).await;
+    assert_eq!(answer.verdict(), "200 ran");
+    assert_ne!(answer.header("ebj-request-id"), id);
+    let answer = get(mesh.node.local, "/orders/check", &forged).await;
+    assert_eq!(answer.verdict(), "403 not-run not-granted");
+}
+
+// Guards against work that goes on for a caller that is gone.
+#[tokio::test]
+async fn disconnect_cancels_children() {
+    let mesh = Mesh::start("", &[]).await;
+    let (_node, stock) = mesh.add_stock().await;
+    behave(stock.address, &json!({"service_ms": 4000})).await;
+    let request = get(mesh.entry.entry, "/orders/a", &[RESELLER]);
+    let watched = async { wait_count(&stock, "in_flight", 1).await };
+    tokio::select! {
+        _ = request => panic!("the request must not be answered"),
+        () = watched => {}
+    }
+    wait_count(&stock, "cancelled", 1).await;
+    wait_count(&mesh.target, "cancelled", 1).await;
+    assert!(counts(stock.address).await["finished"].as_u64().unwrap() >= 1);
+}
+
+// Guards against an incomplete answer that looks complete.
+#[tokio::test]
+async fn truncated_answer_is_reported() {
+    let mesh = Mesh::start("whole_answer_bytes = 65536", &[]).await;
+    for cut in ["length", "chunked"] {
+        let path = format!("/orders/a?answer_bytes=5000&cut={cut}");
+        let answer = post(mesh.entry.entry, &path, &[RESELLER]).await;
+        assert_eq!(answer.verdict(), "502 unknown answer-lost", "{cut}");
+        assert_eq!(answer.json()["outcome"], "unknown");
+        let path = format!("/orders/a?answer_bytes=2000000&cut={cut}");
+        let answer = call(mesh.entry.entry, Method::POST, &path, &[RESELLER], "").await;
+        assert!(
+            answer.is_err(),
+            "{cut}: a cut stream ended like a complete one"
+        );
+    }
+    let answer = get(
+        mesh.entry.entry,
+        "/orders/a?answer_bytes=2000000",
+        &[RESELLER],
+    )
+    .await;
+    assert_eq!(answer.verdict(), "200 ran");
+    assert_eq!(answer.body.len(), 2_000_000);
+}
+
+// Guards against a late copy of a cancelled attempt that runs after its sender was told that it did not.
+#[tokio::test]
+async fn late_copy_after_cancel_is_refused() {
+    let mesh = Mesh::start("", &[]).await;
+    let attempt = uuid::Uuid::new_v4().to_string();
+    let path = format!("/ebonyjunction/v1/attempts/{attempt}");
+    let token = [("ebj-mesh-token", MESH_TOKEN)];
+    let answer = call(mesh.node.mesh, Method::DELETE, &path, &token, "")
+        .await
+        .unwrap();
+    // Without the sender's word about node and age there is no proof.
+    assert_eq!(answer.verdict(), "200 unknown cancelled");
+    let answer = get(mesh.node.mesh, "/orders/late", &mesh_headers(&attempt)).await;
+    assert_eq!(answer.verdict(), "503 not-run cancelled");
+    let other = uuid::Uuid::new_v4().to_string();
+    let answer = get(mesh.node.mesh, "/orders/late", &mesh_headers(&other)).await;
+    assert_eq!(answer.verdict(), "200 ran");
+    assert_eq!(answer.header("ebj-unspent"), "4");
+    assert_eq!(answer.header("ebj-attempt-id"), other);
+    let answer = get(mesh.node.mesh, "/orders/late", &mesh_headers(&other)).await;
+    assert_eq!(answer.verdict(), "409 unknown duplicate-in-flight");
+}
+
+// Guards against a mesh port that serves outside callers or trusts malformed context.
+#[tokio::test]
+async fn mesh_refuses_malformed_headers() {
+    let mesh = Mesh::start("", &[]).await;
+    let attempt = uuid::Uuid::new_v4().to_string();
+    let before = counts(mesh.target.address).await["started"].clone();
+    for position in 0..mesh_headers(&attempt).len() {
+        for change in ["missing", "garbage", "repeated"] {
+            let mut headers = mesh_headers(&attempt);
+            let (name, value) = headers[position];
+            match change {
+                "missing" => drop(headers.remove(position)),
+                "garbage" => headers[position].1 = "?!",
+                _ => headers.push((name, value)),
+            }
+            let Ok(answer) = call(mesh.node.mesh, Method::GET, "/orders/a", &headers, "").await
+            else {
+                panic!("{change} {name}: no answer");
+            };
+            let expected = if position == 0 {
+                "401 not-run bad-mesh-token"
+            } else {
+                "400 not-run bad-request"
+            };
+            assert_eq!(answer.verdict(), expected, "{change} {name}");
+        }
+    }
+    assert_eq!(counts(mesh.target.address).await["started"], before);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test binary uses a part of the support code")]
 
 pub mod http;
+pub mod mesh;
 pub mod process;
 pub mod registry;
 
