--- a/src/bin/ebonyjunction-stand-in/behaviour.rs
+++ b/src/bin/ebonyjunction-stand-in/behaviour.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub(crate) enum CutMode {
+    /// The answer is complete.
+    None,
     /// In the middle of a body of announced length.
     Length,
     /// In the middle of a chunked body.
@@ -45,7 +47,7 @@
     pub(crate) service_ms: u64,
     pub(crate) answer_bytes: usize,
     pub(crate) status: u16,
-    pub(crate) cut: Option<CutMode>,
+    pub(crate) cut: CutMode,
     pub(crate) calls: Vec<CallPath>,
 }
 
@@ -56,20 +58,10 @@
     service_ms: Option<u64>,
     answer_bytes: Option<usize>,
     status: Option<u16>,
-    // The outer option tells an absent field from null, which ends the cutting.
-    #[serde(default, deserialize_with = "present")]
-    cut: Option<Option<CutMode>>,
+    cut: Option<CutMode>,
     calls: Option<Vec<CallPath>>,
 }
 
-#[expect(clippy::option_option, reason = "an absent field differs from null")]
-fn present<'de, D>(deserializer: D) -> std::result::Result<Option<Option<CutMode>>, D::Error>
-where
-    D: serde::Deserializer<'de>,
-{
-    Option::deserialize(deserializer).map(Some)
-}
-
 impl BehaviourChange {
     /// Reads a change from JSON.
     pub(crate) fn parse(text: &[u8]) -> Result<Self> {
@@ -85,8 +77,8 @@
                 "service_ms" => change.service_ms = value.parse().ok(),
                 "answer_bytes" => change.answer_bytes = value.parse().ok(),
                 "status" => change.status = value.parse().ok(),
-                "cut" if value == "length" => change.cut = Some(Some(CutMode::Length)),
-                "cut" if value == "chunked" => change.cut = Some(Some(CutMode::Chunked)),
+                "cut" if value == "length" => change.cut = Some(CutMode::Length),
+                "cut" if value == "chunked" => change.cut = Some(CutMode::Chunked),
                 _ => {}
             }
         }
--- a/src/bin/ebonyjunction-stand-in/main.rs
+++ b/src/bin/ebonyjunction-stand-in/main.rs
@@ -15,7 +15,7 @@
 use mimalloc::MiMalloc;
 use pico_args::Arguments;
 
-use behaviour::{Behaviour, CallPath};
+use behaviour::{Behaviour, CallPath, CutMode};
 use serving::{StandIn, StandInSettings, run};
 
 #[global_allocator]
@@ -38,7 +38,7 @@
   --help               print this text
   --version            print the version
 
-PUT /stand-in/behaviour with JSON changes service_ms, answer_bytes, status, cut (\"length\" or \"chunked\") and calls;
+PUT /stand-in/behaviour with JSON changes service_ms, answer_bytes, status, cut (\"none\", \"length\" or \"chunked\") and calls;
 the query of a request may set service_ms, answer_bytes, status and cut for that request alone.
 GET /stand-in/counts returns the executions by idempotency key and by request id.
 ";
@@ -103,7 +103,7 @@
             service_ms: service_ms.unwrap_or(DEFAULT_SERVICE_MS),
             answer_bytes: answer_bytes.unwrap_or(0),
             status: 200,
-            cut: None,
+            cut: CutMode::None,
             calls,
         },
     })
--- a/src/bin/ebonyjunction-stand-in/serving.rs
+++ b/src/bin/ebonyjunction-stand-in/serving.rs
@@ -287,14 +287,14 @@
     status: StatusCode,
     summary: &Value,
 ) -> Response<StandInBody> {
-    if behaviour.answer_bytes == 0 && behaviour.cut.is_none() {
+    if behaviour.answer_bytes == 0 && behaviour.cut == CutMode::None {
         return json_response(status, summary);
     }
     let length = behaviour.answer_bytes.max(2);
-    let chunks = filler(length, behaviour.cut.is_some());
+    let chunks = filler(length, behaviour.cut != CutMode::None);
     let mut response = Response::new(Either::Right(StreamBody::new(chunks)));
     *response.status_mut() = status;
-    if behaviour.cut != Some(CutMode::Chunked) {
+    if behaviour.cut != CutMode::Chunked {
         let headers = response.headers_mut();
         headers.insert(http::header::CONTENT_LENGTH, length.into());
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -30,13 +30,20 @@
     }
 }
 
+const VERSION_4: &str = "5b3d34a5-6a1b-4c8e-8a3e-1f2d3c4b5a69";
+
+type RefusalCase = (
+    &'static str,
+    &'static [(&'static str, &'static str)],
+    &'static str,
+);
+
 // Guards against refusals with a wrong status, outcome or reason, and against refused work that reaches the target.
 #[tokio::test]
 async fn entry_refuses_with_reason() {
     let mesh = Mesh::start("", &[]).await;
     let before = counts(mesh.target.address).await["started"].clone();
-    let version_4 = "5b3d34a5-6a1b-4c8e-8a3e-1f2d3c4b5a69";
-    let cases: &[(&str, &[(&str, &str)], &str)] = &[
+    let cases: &[RefusalCase] = &[
         ("/orders/a", &[], "401 not-run unknown-caller"),
         (
             "/orders/a",
@@ -56,7 +63,7 @@
         ("/orders/pay", &[RESELLER], "400 not-run key-required"),
         (
             "/orders/pay",
-            &[RESELLER, ("idempotency-key", version_4)],
+            &[RESELLER, ("idempotency-key", VERSION_4)],
             "400 not-run bad-request",
         ),
         (
--- a/tests/node_stop.rs
+++ b/tests/node_stop.rs
@@ -45,8 +45,11 @@
     let status = mesh.node.process.wait().await;
     assert_eq!(status.code(), Some(0));
     assert!(start.elapsed() < Duration::from_secs(8));
-    let state = mesh.registry.state();
-    let targets = state.nodes.values().filter_map(|node| node.target.as_ref());
+    let registry = mesh.registry.state();
+    let targets = registry
+        .nodes
+        .values()
+        .filter_map(|node| node.target.as_ref());
     let states: Vec<i32> = targets.map(|target| target.state).collect();
     assert_eq!(
         states,
@@ -177,7 +180,9 @@
     ];
     let body = Bytes::from(vec![b'u'; LARGE_BYTES]);
     let digest = Sha256::digest(&body);
-    let digest: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    let digest = digest
+        .iter()
+        .fold(String::new(), |text, byte| format!("{text}{byte:02x}"));
     let answer = call(
         mesh.entry.entry,
         Method::PUT,
--- a/tests/support/registry.rs
+++ b/tests/support/registry.rs
@@ -20,6 +20,9 @@
     Unavailable,
 }
 
+type ClaimScope = (String, String, Vec<u8>);
+type ClaimHolder = (Vec<u8>, ClaimOutcome);
+
 #[derive(Debug, Default)]
 pub struct RegistryState {
     pub plans: PlanSet,
@@ -31,7 +34,7 @@
     /// Tokens handed out once to the first demand of a caller.
     pub deposit: u32,
     paid: BTreeSet<String>,
-    pub claims: BTreeMap<(String, String, Vec<u8>), (Vec<u8>, ClaimOutcome)>,
+    pub claims: BTreeMap<ClaimScope, ClaimHolder>,
     pub released: BTreeSet<Vec<u8>>,
     pub settled: Vec<(Vec<u8>, ClaimOutcome)>,
 }
