--- a/src/bin/ebonyjunction-stand-in/serving.rs
+++ b/src/bin/ebonyjunction-stand-in/serving.rs
@@ -194,7 +194,10 @@
     };
     {
         let _slot = stand_in.slots.acquire().await;
-        sleep(Duration::from_millis(behaviour.service_ms)).await;
+        // The timer rounds up to a millisecond, which would hide what the mesh adds.
+        if behaviour.service_ms > 0 {
+            sleep(Duration::from_millis(behaviour.service_ms)).await;
+        }
     }
     let calls = call_services(stand_in, &behaviour.calls, &parts.headers).await;
     let has_failed = calls.iter().any(|call| call["status"] != json!(200));
@@ -287,14 +290,14 @@
     status: StatusCode,
     summary: &Value,
 ) -> Response<StandInBody> {
-    if behaviour.answer_bytes == 0 && behaviour.cut.is_none() {
+    if behaviour.answer_bytes == 0 && behaviour.cut == CutMode::None {
         return json_response(status, summary);
     }
     let length = behaviour.answer_bytes.max(2);
-    let chunks = filler(length, behaviour.cut.is_some());
+    let chunks = filler(length, behaviour.cut != CutMode::None);
     let mut response = Response::new(Either::Right(StreamBody::new(chunks)));
     *response.status_mut() = status;
-    if behaviour.cut != Some(CutMode::Chunked) {
+    if behaviour.cut != CutMode::Chunked {
         let headers = response.headers_mut();
         headers.insert(http::header::CONTENT_LENGTH, length.into());
     }
