--- a/src/control_server/leader.rs
+++ b/src/control_server/leader.rs
@@ -81,7 +81,10 @@
     }
 
     fn directory_for(&self, now: TickTime, request: &HeartbeatRequest) -> Option<DirectoryDelta> {
-        if !self.leases.is_complete(now) {
+        // A node that holds the directory of an earlier term keeps it until every live node had time to announce
+        // itself. A node that holds none has nothing to lose and gets what is known.
+        let holds_earlier = request.directory_term != 0 && request.directory_term != self.term;
+        if holds_earlier && !self.leases.is_complete(now) {
             return None;
         }
         let names = request.services.iter();
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -14,12 +14,12 @@
 use crate::routing::{DirectoryUpdate, TargetState};
 use crate::types::TickTime;
 
-use super::{LifecycleEvent, NodeState, lock};
+use super::{LifecycleEvent, NodePhase, NodeState, lock};
 
 const PERIOD: Duration = Duration::from_secs(1);
 // Spreads the heartbeats of nodes that start together.
 const PERIOD_JITTER: f64 = 0.1;
-// A node without plans refuses all work, so it asks again soon.
+// A node without plans or directory refuses all work, so it asks again soon.
 const START_PERIOD: Duration = Duration::from_millis(200);
 // Bounds the load of a target that announces itself again and again.
 const MIN_PAUSE: Duration = Duration::from_millis(50);
@@ -35,6 +35,12 @@
     revision: u64,
 }
 
+impl DirectoryPosition {
+    fn is_known(self) -> bool {
+        self.term > 0
+    }
+}
+
 /// Sends heartbeats until the node stops.
 pub(super) async fn run_heartbeats(state: Arc<NodeState>) {
     loop {
@@ -63,7 +69,8 @@
 }
 
 fn next_period(state: &NodeState) -> Duration {
-    if lock(&state.plans).version() == 0 {
+    let holds_views = lock(&state.plans).version() > 0 && lock(&state.directory).is_known();
+    if !holds_views {
         return START_PERIOD;
     }
     let factor = lock(&state.rng).random_range(1.0 - PERIOD_JITTER..1.0 + PERIOD_JITTER);
@@ -98,8 +105,11 @@
 }
 
 fn node_info(state: &NodeState) -> NodeInfo {
+    // Other nodes must not choose a target whose node would still refuse their calls.
+    let is_starting = state.phase() == NodePhase::Starting;
     let target = lock(&state.target);
-    let target = target.announcement().map(|(announcement, target_state)| {
+    let announced = target.announcement().filter(|_| !is_starting);
+    let target = announced.map(|(announcement, target_state)| {
         let target_state = if state.is_stopping() {
             TargetState::Leaving
         } else {
@@ -133,9 +143,7 @@
     // The leader's age counts from before its answer, which is after the heartbeat was sent.
     let age = Duration::from_millis(reply.freshness_age_ms.into());
     let confirmed_at = TickTime::from_start(sent_at.since_start().saturating_sub(age));
-    if lock(&state.plans).confirm(reply.plan_version, confirmed_at) {
-        state.advance(&LifecycleEvent::PlansArrived);
-    }
+    let is_confirmed = lock(&state.plans).confirm(reply.plan_version, confirmed_at);
     let shares: Vec<_> = reply
         .shares
         .iter()
@@ -146,6 +154,9 @@
     if let Some(delta) = reply.directory {
         apply_directory(state, now, delta)?;
     }
+    if is_confirmed && lock(&state.directory).is_known() {
+        state.advance(&LifecycleEvent::ViewsArrived);
+    }
     Ok(())
 }
 
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -5,7 +5,7 @@
 /// Phase of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum NodePhase {
-    /// No plans are held yet.
+    /// Plans or the directory are not held yet.
     Starting,
     /// Work is accepted.
     Serving,
@@ -18,8 +18,8 @@
 /// What moves the process to another phase.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum LifecycleEvent {
-    /// The first plans arrived.
-    PlansArrived,
+    /// Plans and the directory have arrived.
+    ViewsArrived,
     /// The process was asked to stop.
     StopRequested,
     /// No held work is left, or the bound on the stop is reached.
@@ -71,7 +71,7 @@
     #[state(superstate = "running")]
     fn starting(event: &LifecycleEvent) -> Outcome<State> {
         match event {
-            LifecycleEvent::PlansArrived => Transition(State::serving()),
+            LifecycleEvent::ViewsArrived => Transition(State::serving()),
             _ => Super,
         }
     }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -162,6 +162,9 @@
 
     /// Returns the plans under which work may be admitted now.
     pub(crate) fn usable_plans(&self) -> Option<Arc<PlanBook>> {
+        if self.phase() == NodePhase::Starting {
+            return None;
+        }
         lock(&self.plans).usable(self.now())
     }
 
