--- a/benches/overload_recovery/load.rs
+++ b/benches/overload_recovery/load.rs
@@ -31,27 +31,28 @@
     pub(crate) gave_up: u64,
 }
 
-/// Phases of one run, in seconds.
+/// Phases of one run.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LoadPlan {
-    pub(crate) before_s: u64,
-    pub(crate) overload_s: u64,
-    pub(crate) after_s: u64,
-    /// Demand before and after the overload; it doubles during it.
-    pub(crate) requests_per_s: u64,
+    pub(crate) before_seconds: u64,
+    pub(crate) overload_seconds: u64,
+    pub(crate) after_seconds: u64,
+    /// Requests per second before and after the overload; it doubles during it.
+    pub(crate) rate: u64,
 }
 
 impl LoadPlan {
     fn total_s(self) -> u64 {
-        self.before_s + self.overload_s + self.after_s
+        self.before_seconds + self.overload_seconds + self.after_seconds
     }
 
     fn rate_at(self, second: u64) -> u64 {
-        let is_overload = second >= self.before_s && second < self.before_s + self.overload_s;
+        let is_overload =
+            second >= self.before_seconds && second < self.before_seconds + self.overload_seconds;
         if is_overload {
-            2 * self.requests_per_s
+            2 * self.rate
         } else {
-            self.requests_per_s
+            self.rate
         }
     }
 }
@@ -90,10 +91,10 @@
     });
     let mut number = 0;
     for second in 0..plan.total_s() {
-        if second == plan.before_s {
+        if second == plan.before_seconds {
             at_phase(true).await;
         }
-        if second == plan.before_s + plan.overload_s {
+        if second == plan.before_seconds + plan.overload_seconds {
             at_phase(false).await;
         }
         let rate = plan.rate_at(second);
--- a/benches/overload_recovery/main.rs
+++ b/benches/overload_recovery/main.rs
@@ -25,10 +25,10 @@
 const SLOWDOWN: u64 = 4;
 const ALLOWANCE: u64 = 16;
 const LOAD: LoadPlan = LoadPlan {
-    before_s: 8,
-    overload_s: 20,
-    after_s: 15,
-    requests_per_s: 400,
+    before_seconds: 8,
+    overload_seconds: 20,
+    after_seconds: 15,
+    rate: 400,
 };
 /// Share of the goodput before the overload at which the service counts as recovered.
 const RECOVERED_SHARE: f64 = 0.95;
@@ -131,10 +131,10 @@
         .unwrap_or(1);
     println!(
         "before_s={} overload_s={} after_s={} requests_per_s={} slowed_capacity_per_s={}",
-        LOAD.before_s,
-        LOAD.overload_s,
-        LOAD.after_s,
-        LOAD.requests_per_s,
+        LOAD.before_seconds,
+        LOAD.overload_seconds,
+        LOAD.after_seconds,
+        LOAD.rate,
         slowed_capacity()
     );
     for _ in 0..rounds {
@@ -165,7 +165,7 @@
         .filter(|endpoint| endpoint.service == "fourth");
     let deep: Vec<SocketAddr> = deep.map(|endpoint| endpoint.target_address).collect();
     run_load(LOAD, entries, CREDENTIAL.to_owned(), async |is_slow| {
-        slow_down(&deep, is_slow).await
+        slow_down(&deep, is_slow).await;
     })
     .await
 }
@@ -193,7 +193,7 @@
     }
     tokio::time::sleep(Duration::from_secs(1)).await;
     run_load(LOAD, entries, CREDENTIAL.to_owned(), async |is_slow| {
-        slow_down(&deep, is_slow).await
+        slow_down(&deep, is_slow).await;
     })
     .await
 }
@@ -215,8 +215,8 @@
 }
 
 fn report(prefix: &str, result: &LoadResult) {
-    let start = LOAD.before_s as usize;
-    let end = start + LOAD.overload_s as usize;
+    let start = LOAD.before_seconds as usize;
+    let end = start + LOAD.overload_seconds as usize;
     let answered = |from: usize, to: usize| -> u64 {
         result.seconds[from..to]
             .iter()
@@ -245,7 +245,7 @@
     println!("{prefix}goodput_ratio={:.3}", during / slowed_capacity());
     match recovered {
         Some(seconds) => println!("{prefix}recovery_s={}", seconds + 1),
-        None => println!("{prefix}recovery_s=none within {} s", LOAD.after_s),
+        None => println!("{prefix}recovery_s=none within {} s", LOAD.after_seconds),
     }
     println!(
         "{prefix}attempts_per_request={:.2}",
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -318,20 +318,20 @@
             (text.matches("ready").count() >= count).then_some(())
         });
     }
+}
 
-    /// Sends one request through the call program and returns its output.
-    pub(crate) fn call(&self, entry: SocketAddr, arguments: &[&str]) -> String {
-        let output = Command::new(env!("CARGO_BIN_EXE_ebonyjunction-call"))
-            .args(["--entry", &entry.to_string()])
-            .args(arguments)
-            .output()
-            .expect("call runs");
-        format!(
-            "{}{}",
-            String::from_utf8_lossy(&output.stdout),
-            String::from_utf8_lossy(&output.stderr)
-        )
-    }
+/// Sends one request through the call program and returns its output.
+pub(crate) fn call(entry: SocketAddr, arguments: &[&str]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_ebonyjunction-call"))
+        .args(["--entry", &entry.to_string()])
+        .args(arguments)
+        .output()
+        .expect("call runs");
+    format!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    )
 }
 
 fn path_text(path: &Path) -> String {
