Allow trial cuts that take up to 5 s

Cause: a target with 70 slots that thrashes above 12 takes more than 3 s for one cohort and was never tried.

--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -21,7 +21,7 @@
 const TRIAL_ROUNDS: u32 = 2;
 /// Longest trial, and longest cohort before one. A target that finishes too little work in this time cannot be
 /// measured while its state lasts, and keeps its limit.
-const MAX_TRIAL: Duration = Duration::from_secs(3);
+const MAX_TRIAL: Duration = Duration::from_secs(5);
 /// Factor of a trial cut. A smaller cut cannot be told from the noise of a cohort.
 const CUT: f64 = 0.7;
 /// Factor of a trial cut because of failures, and of each further one. It is close to 1 because failures stop at
