Estimate the turnover of slots by class

Cause: the mean age of all running work let a few long uploads make every wait look long, so short work was refused as infeasible. Each class now contributes its own rate of finishing, from its expected service time or its age.

--- a/src/admission/control.rs
+++ b/src/admission/control.rs
@@ -20,6 +20,9 @@
 /// Share of the mean by which the time to come back varies either way, so that refused callers spread out.
 const RETRY_JITTER: f64 = 0.5;
 
+/// Service times below this count as this long, because work that has just begun has no age.
+const LEAST_SERVICE_S: f64 = 0.000_01;
+
 #[derive(Debug, Clone, Copy)]
 enum WorkState {
     Queued(QueueRank),
@@ -186,12 +189,29 @@
 
     /// Updates the expected service time and the expected time between two slots becoming free.
     fn refresh(&mut self, now: TickTime) {
-        // The age of running work shows a slowdown before the first slow work has finished.
-        let age = self.running.mean_age(now);
-        self.service_time = self.times.expected_overall(now).max(age);
+        self.service_time = self.expected_turnover(now);
         self.drain_interval = self.service_time / self.limit.get().max(1);
     }
 
+    /// Returns the time after which a slot becomes free, as the number of running pieces over the rate at which they
+    /// finish. A few long uploads so do not hide that the other slots turn over quickly.
+    fn expected_turnover(&self, now: TickTime) -> Duration {
+        let overall = self.times.expected_overall(now);
+        let mut finish_rate = 0.0;
+        for (class, count, age) in self.running.ages(now) {
+            // The age of running work shows a slowdown before the first slow work has finished.
+            let known = self.times.expected(now, class);
+            let expected = if known.is_zero() { overall } else { known };
+            let service_time = expected.max(age);
+            let service_s = service_time.as_secs_f64().max(LEAST_SERVICE_S);
+            finish_rate += count as f64 / service_s;
+        }
+        if finish_rate == 0.0 {
+            return overall;
+        }
+        Duration::from_secs_f64(self.running.len() as f64 / finish_rate)
+    }
+
     fn check_deadline(&self, now: TickTime, request: &WorkRequest) -> Result<(), RefusalReason> {
         self.check_deadline_after(now, Duration::ZERO, request)
     }
