Keep the limit when the same slots are announced again

Cause: every announcement of a target restarted the measurement of the limit and ended a running trial with its cut in force. An unchanged number now does nothing, and a changed one starts from the limit before the trial.

--- a/src/admission/control.rs
+++ b/src/admission/control.rs
@@ -267,8 +267,9 @@
 
     /// Finds a place in the queue, displacing less important work if needed.
     ///
-    /// Each running piece of a lower class yields one more place, because its slot goes to the higher class next. So
-    /// a higher class is refused only when all room that lower classes hold is promised to it already.
+    /// While lower classes run, a class may fill the queue up to its limit in number, because their slots go to it
+    /// next, and each of them yields one place more. So a higher class is refused only when all room that lower
+    /// classes hold is promised to it already.
     fn make_room(
         &mut self,
         rank: QueueRank,
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -19,7 +19,7 @@
 const TRIAL_SIZE: u32 = 48;
 /// Rounds that must all confirm a cut, so that it is rarely kept by chance.
 const TRIAL_ROUNDS: u32 = 2;
-/// Longest trial, and longest cohort before one. A target that finishes too little work in this time cannot be
+/// Longest round of a trial, and longest cohort before one. A target that finishes too little work in this time cannot be
 /// measured while its state lasts, and keeps its limit.
 const MAX_TRIAL: Duration = Duration::from_secs(5);
 /// Factor of a trial cut. A smaller cut cannot be told from the noise of a cohort.
@@ -40,6 +40,7 @@
 const FLOOR_DIVISOR: u32 = 8;
 /// Growth of the limit for each busy cohort without a rise.
 const GROWTH: f64 = 0.25;
+
 #[derive(Debug, Clone, Copy)]
 struct TrialCut {
     limit_before: f64,
@@ -73,19 +74,27 @@
         (self.limit.round() as u32).clamp(self.slots.min(1), self.slots)
     }
 
+    /// Scales the limit to a new number of slots. A repeated announcement of the same number changes nothing.
     pub(super) fn set_slots(&mut self, slots: u32) {
+        if slots == self.slots {
+            return;
+        }
+        let limit = self
+            .trial
+            .take()
+            .map_or(self.limit, |trial| trial.limit_before);
         let share = if self.slots == 0 {
             1.0
         } else {
-            self.limit / f64::from(self.slots)
+            limit / f64::from(self.slots)
         };
         self.slots = slots;
         self.limit = f64::from(slots) * share;
-        self.trial = None;
         self.cohort.restart(COHORT_SIZE);
     }
 
-    /// Counts started work, given the number in flight with it, and returns the number of its cohort, if it belongs to one.
+    /// Counts started work, given the number in flight with it, and returns the number of its cohort, if it belongs
+    /// to one.
     pub(super) fn start(&mut self, now: TickTime, in_flight: usize) -> Option<u32> {
         let is_at_limit = in_flight >= self.get() as usize;
         self.cohort.start(now, in_flight, is_at_limit)
