--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -19,8 +19,8 @@
 const TRIAL_SIZE: u32 = 48;
 /// Rounds that must all confirm a cut, so that it is rarely kept by chance.
 const TRIAL_ROUNDS: u32 = 2;
-/// Longest round of a trial, and longest cohort before one. A target that finishes too little work in this time cannot be
-/// measured while its state lasts, and keeps its limit.
+/// Longest round of a trial, and longest cohort before one. A target that finishes too little work in this time
+/// cannot be measured while its state lasts, and keeps its limit.
 const MAX_TRIAL: Duration = Duration::from_secs(5);
 /// Factor of a trial cut. A smaller cut cannot be told from the noise of a cohort.
 const CUT: f64 = 0.7;
