--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -101,6 +101,11 @@
         self.targets.is_empty()
     }
 
+    /// Finds the target beside a node.
+    pub fn key_of(&self, node_id: NodeId) -> Option<TargetKey> {
+        self.by_node.get(&node_id).copied()
+    }
+
     /// Applies a change of the directory. What was measured at a target is kept while its node
     /// stays listed.
     pub fn apply_update(&mut self, now: TickTime, update: DirectoryUpdate) {
--- a/src/shares/bucket.rs
+++ b/src/shares/bucket.rs
@@ -92,17 +92,33 @@
         caller: &CallerEntry,
         plan: &PlanEntry,
     ) -> Result<(), Duration> {
-        let Some(rate_per_s) = plan.rate_per_s else {
+        if plan.rate_per_s.is_none() {
             return Ok(());
-        };
+        }
         if !self.callers.contains_key(&caller.name) {
             self.callers
                 .insert(caller.name.clone(), CallerBucket::default());
         }
+        if let Some(bucket) = self.callers.get_mut(&caller.name) {
+            bucket.offered = bucket.offered.saturating_add(1);
+        }
+        self.take_again(now, caller, plan)
+    }
+
+    /// Tries once more for a request that `take` turned down and that was held since then, without
+    /// counting it as new demand.
+    pub fn take_again(
+        &mut self,
+        now: TickTime,
+        caller: &CallerEntry,
+        plan: &PlanEntry,
+    ) -> Result<(), Duration> {
+        let Some(rate_per_s) = plan.rate_per_s else {
+            return Ok(());
+        };
         let Some(bucket) = self.callers.get_mut(&caller.name) else {
             return Err(HEARTBEAT_PERIOD);
         };
-        bucket.offered = bucket.offered.saturating_add(1);
         bucket.clip_capacity(rate_per_s, plan.burst);
         let result = bucket.take(now);
         self.has_unmet_demand |= result.is_err() && bucket.lease.is_none();
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -392,7 +392,7 @@
             ShareStep::DeliverHeartbeat { position } => state.deliver_heartbeat(position),
             ShareStep::DeliverReply { position } => state.deliver_reply(position),
             ShareStep::LoseHeartbeat { position } => {
-                drop(remove_at(&mut state.heartbeats, position))
+                drop(remove_at(&mut state.heartbeats, position));
             }
             ShareStep::LoseReply { position } => drop(remove_at(&mut state.replies, position)),
             ShareStep::ChangeLeader => state.world.ledger = ShareLedger::new(state.world.now),
