--- a/examples/routing_policy/share_moves.rs
+++ b/examples/routing_policy/share_moves.rs
@@ -260,16 +260,25 @@
         let mut sim = ShareSim::new(nodes, rate_per_s, burst);
         let seconds = 60;
         let mut offered = 0;
+        let mut ideal = 0;
+        let mut tokens = f64::from(burst);
         for _ in 0..seconds * 1_000 {
             let is_offered = sim.rng.random::<f64>() < f64::from(rate_per_s) * 0.9 / 1e3;
             let node = sim.rng.random_range(0..nodes);
             offered += u64::from(is_offered);
+            tokens = (tokens + f64::from(rate_per_s) / 1e3).min(f64::from(burst));
+            if is_offered && tokens >= 1.0 {
+                tokens -= 1.0;
+                ideal += 1;
+            }
             let offers = [node];
             sim.step(if is_offered { &offers[..] } else { &[] });
         }
         let admitted = sim.admitted.iter().sum::<u64>();
         let prefix = format!("shares.sparse.rate_{rate_per_s}.burst_{burst}.nodes_{nodes}");
         println!("{prefix}.over_admission={:.3}", sim.over.max(0.0));
+        let ideal_percent = f64::from(ideal) * 100.0 / offered as f64;
+        println!("{prefix}.one_bucket_percent={ideal_percent:.1}");
         println!(
             "{prefix}.served_percent={:.1}",
             admitted as f64 * 100.0 / offered as f64
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -28,6 +28,11 @@
 /// Time for which a deposit holds; it covers one retry after the usual delay of a second.
 pub const DEPOSIT_LIFE: Duration = Duration::from_secs(1);
 
+/// Time for which a deposit holds when less than half of the burst is banked. The bank does not
+/// fill for tokens that may still be held, so a short life serves more requests; the node must hold
+/// a request until the deposit has arrived.
+pub const SCARCE_DEPOSIT_LIFE: Duration = Duration::from_millis(300);
+
 /// Age from which a reply counts as late. A late reply may extend a lease but not create one: a
 /// former leader's lease that it confirms could have expired and been given to another node.
 pub const REPLY_BOUND: Duration = Duration::from_millis(500);
--- a/src/shares/ledger/account.rs
+++ b/src/shares/ledger/account.rs
@@ -6,19 +6,26 @@
 use crate::types::{NodeId, TickTime};
 
 use super::super::{
-    DEPOSIT_LIFE, REPLY_BOUND, RateDemand, RateShare, SHARE_LEASE, TOKEN, accrued, lease_capacity,
+    DEPOSIT_LIFE, REPLY_BOUND, RateDemand, RateShare, SCARCE_DEPOSIT_LIFE, SHARE_LEASE, TOKEN,
+    accrued, lease_capacity,
 };
 use super::fill_time;
 
 /// Factor by which a lease may exceed the measured demand, so that growth is not cut off.
 const DEMAND_HEADROOM: f64 = 1.25;
-/// Time in which half of a fall in demand is believed; growth counts at once.
-const DEMAND_HALF_LIFE: Duration = Duration::from_millis(500);
+/// Time in which half of a change in demand is believed.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(1);
+/// A change by more than this factor and this number is believed at once; less may be chance.
+const DEMAND_JUMP: f64 = 1.5;
+const DEMAND_NOISE_PER_S: f64 = 4.0;
+/// A lease keeps its rate while the rate it should have is at least this part of it. The larger
+/// of two leases counts until it expires, so following random changes would waste the rest.
+const KEEP_RATE: f64 = 0.7;
 /// Offered rate at which a first report already earns a lease.
-const LEASE_AT_ONCE_PER_S: u32 = 3;
+const LEASE_AT_ONCE_PER_S: u32 = 5;
 /// Reports in a row that show demand before a slow caller gets a lease; a single request is
 /// served by a deposit, because a lease would tie up the rate for three seconds.
-const REPORTS_FOR_LEASE: u32 = 2;
+const REPORTS_FOR_LEASE: u32 = 4;
 
 /// Limit of one caller over the whole mesh.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -184,8 +191,14 @@
             let tokens = u64::from(tokens).min(self.bank / TOKEN) as u32;
             if tokens > 0 {
                 self.bank -= u64::from(tokens) * TOKEN;
-                node.push_deposit(now, tokens);
-                shares.push(deposit_share(demand, tokens));
+                let is_ample = self.bank * 2 >= u64::from(limit.burst) * TOKEN;
+                let life = if is_ample {
+                    DEPOSIT_LIFE
+                } else {
+                    SCARCE_DEPOSIT_LIFE
+                };
+                node.push_deposit(now + life, tokens);
+                shares.push(deposit_share(demand, tokens, life));
             }
         }
         shares
@@ -199,9 +212,8 @@
         let totals = self.totals();
         let others = totals.rate_per_s - u64::from(node.leased_rate(now));
         let free = u64::from(limit.rate_per_s).saturating_sub(others);
-        let rate = node
-            .target_rate(totals.wanted_per_s, limit)
-            .min(free as u32);
+        let target = node.target_rate(totals.wanted_per_s, limit);
+        let rate = node.steady_rate(now, target).min(free as u32);
         let others = totals.capacity - u64::from(node.leased_capacity(now));
         let room = u64::from(limit.burst).saturating_sub(others + totals.deposited);
         let capacity = limit.capacity(rate).min(room as u32);
@@ -228,7 +240,13 @@
         let offered = f64::from(offered_per_s);
         let age = now.saturating_since(self.seen_at).as_secs_f64();
         let fade = (-age / DEMAND_HALF_LIFE.as_secs_f64()).exp2();
-        self.wanted_per_s = offered + (self.wanted_per_s - offered).max(0.0) * fade;
+        let average = offered + (self.wanted_per_s - offered) * fade;
+        let (low, high) = (
+            offered.min(self.wanted_per_s),
+            offered.max(self.wanted_per_s),
+        );
+        let is_jump = high > low * DEMAND_JUMP + DEMAND_NOISE_PER_S;
+        self.wanted_per_s = if is_jump { offered } else { average };
         // A node without requests gets no renewal; what it holds lasts through a pause.
         self.reports = if offered_per_s == 0 {
             self.wanted_per_s = 0.0;
@@ -257,6 +275,12 @@
         (rate * wanted / all_wanted) as u32
     }
 
+    fn steady_rate(&self, now: TickTime, target: u32) -> u32 {
+        let leased = self.leased_rate(now);
+        let is_near = target < leased && f64::from(target) >= f64::from(leased) * KEEP_RATE;
+        if is_near { leased } else { target }
+    }
+
     fn missing_tokens(&self, offered: u32, covered: u32) -> u32 {
         let deposited: u32 = self.deposits.iter().map(|deposit| deposit.tokens).sum();
         offered.saturating_sub(covered).saturating_sub(deposited)
@@ -272,8 +296,7 @@
         });
     }
 
-    fn push_deposit(&mut self, now: TickTime, tokens: u32) {
-        let expires_at = now + DEPOSIT_LIFE;
+    fn push_deposit(&mut self, expires_at: TickTime, tokens: u32) {
         self.deposits.push(GivenDeposit { tokens, expires_at });
     }
 
@@ -310,11 +333,11 @@
     }
 }
 
-fn deposit_share(demand: &RateDemand, tokens: u32) -> RateShare {
+fn deposit_share(demand: &RateDemand, tokens: u32, valid_for: Duration) -> RateShare {
     RateShare {
         caller: demand.caller.clone(),
         rate_per_s: 0,
         burst: tokens,
-        valid_for: DEPOSIT_LIFE,
+        valid_for,
     }
 }
