--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -1,5 +1,6 @@
 //! Choice of one target among the candidates.
 
+use std::cell::LazyCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,7 +8,6 @@
 
 use crate::types::{NodeId, PriorityClass, RefusalReason, RequestPriority, ServiceName, TickTime};
 
-use super::levels::EndpointLevels;
 use super::table::{PathTier, ServiceTargets, TargetSlot};
 use super::{RoutingSettings, TargetKey, TargetTable};
 
@@ -65,11 +65,17 @@
     key: TargetKey,
     tier: PathTier,
     weight: f64,
-    // Expected completion, for a choice among targets at the same distance.
-    completion_s: f64,
-    // Expected completion with path cost, for a choice between distances.
-    spill_s: f64,
     level: RequestPriority,
+    is_outlier: bool,
+}
+
+/// Expected completion in seconds.
+#[derive(Debug, Clone, Copy)]
+struct CompletionTime {
+    // For a choice among targets at the same distance.
+    local_s: f64,
+    // With path cost, for a choice between distances.
+    spill_s: f64,
 }
 
 impl TargetTable {
@@ -97,7 +103,7 @@
         }
         let is_last_resort = candidates.is_empty();
         let probe = self.recovery_probe(service, request, is_last_resort, rng);
-        let chosen = probe.or_else(|| choose_candidate(&candidates, rng));
+        let chosen = probe.or_else(|| self.choose_candidate(now, service, &candidates, rng));
         chosen.map_or_else(
             || refuse(RefusalReason::NoTarget, NO_TARGET_RETRY, &mut *rng),
             |key| self.send(key),
@@ -129,24 +135,28 @@
     ) -> Vec<RouteCandidate> {
         let half_life = self.settings.level_half_life;
         let levels = service.levels.endpoint(request.endpoint);
-        let median = levels.map(|levels| levels.median(now, half_life));
+        // The median is costly and only needed for targets without a recent answer.
+        let median = LazyCell::new(|| levels.map(|levels| levels.median(now, half_life)));
         let level_of = |key: TargetKey| {
-            let own =
-                levels.and_then(|levels: &EndpointLevels| levels.of_target(now, half_life, key));
-            own.or(median).unwrap_or(RequestPriority::from_raw(0))
+            let own = levels.and_then(|levels| levels.of_target(now, half_life, key));
+            let level = own.or_else(|| *median);
+            level.unwrap_or(RequestPriority::from_raw(0))
         };
-        let first_s = self.settings.first_latency.as_secs_f64();
-        let typical_s = service.typical_s.unwrap_or(first_s);
         let keys = service.keys.iter().copied();
         let keys = keys.filter(|key| !request.excluded.contains(key));
         let slots = keys.map(|key| (key, &self.targets[key]));
-        slots
-            .filter(|(_, slot)| slot.is_candidate())
+        let candidates = slots.filter(|(_, slot)| slot.is_candidate());
+        let mut candidates = candidates
             .map(|(key, slot)| RouteCandidate {
+                key,
+                tier: slot.tier,
+                weight: slot.weight(now, &self.settings),
                 level: level_of(key),
-                ..slot.candidate(now, key, typical_s, &self.settings)
+                is_outlier: slot.is_held(now),
             })
-            .collect()
+            .collect();
+        remove_outliers(&mut candidates);
+        candidates
     }
 
     /// Removes candidates whose level shuts the request out; refuses if none is left.
@@ -194,62 +204,77 @@
         };
         rng.random_bool(chance).then_some(key)
     }
+
+    /// Takes the better of two at each distance, and a farther one only if it completes earlier.
+    fn choose_candidate(
+        &self,
+        now: TickTime,
+        service: &ServiceTargets,
+        candidates: &[RouteCandidate],
+        rng: &mut dyn RngCore,
+    ) -> Option<TargetKey> {
+        let first_s = self.settings.first_latency.as_secs_f64();
+        let typical_s = service.typical_s.unwrap_or(first_s);
+        let completion = |key: TargetKey| {
+            let slot = &self.targets[key];
+            slot.completion(now, typical_s, &self.settings)
+        };
+        let mut chosen: Option<(TargetKey, CompletionTime)> = None;
+        for tier in PathTier::ALL {
+            let Some(best) = best_of_two(candidates, tier, &completion, rng) else {
+                continue;
+            };
+            if chosen.is_none_or(|nearer| best.1.spill_s < nearer.1.spill_s) {
+                chosen = Some(best);
+            }
+        }
+        chosen.map(|(key, _)| key)
+    }
 }
 
 impl TargetSlot {
-    fn candidate(
+    fn completion(
         &self,
         now: TickTime,
-        key: TargetKey,
         typical_s: f64,
         settings: &RoutingSettings,
-    ) -> RouteCandidate {
+    ) -> CompletionTime {
         let half_life = settings.latency_memory;
         let service_s = self.estimate.service_time(now, half_life, typical_s);
         let wait_s = self.estimate.wait(now);
         let in_flight = f64::from(self.in_flight);
         let path_s = self.tier.cost(settings).as_secs_f64();
         let occupied = in_flight / f64::from(self.slots);
-        RouteCandidate {
-            key,
-            tier: self.tier,
-            weight: self.weight(now, settings),
-            completion_s: service_s * (in_flight + 1.0) + wait_s,
+        CompletionTime {
+            local_s: service_s * (in_flight + 1.0) + wait_s,
             spill_s: service_s * (1.0 + occupied) + wait_s + path_s,
-            level: RequestPriority::from_raw(0),
         }
     }
 }
 
-/// Takes the better of two at each distance, and a farther one only if it completes earlier.
-fn choose_candidate(candidates: &[RouteCandidate], rng: &mut dyn RngCore) -> Option<TargetKey> {
-    let tiers = [
-        PathTier::SameZone,
-        PathTier::SameRegion,
-        PathTier::OtherRegion,
-    ];
-    let mut chosen: Option<RouteCandidate> = None;
-    for tier in tiers {
-        let Some(best) = best_of_two(candidates, tier, rng) else {
-            continue;
-        };
-        if chosen.is_none_or(|nearer| best.spill_s < nearer.spill_s) {
-            chosen = Some(best);
-        }
+/// Removes slow targets, unless more than a third is slow: then the others cannot take their load.
+fn remove_outliers(candidates: &mut Vec<RouteCandidate>) {
+    let outliers = candidates.iter().filter(|candidate| candidate.is_outlier);
+    if outliers.count() <= candidates.len() / 3 {
+        candidates.retain(|candidate| !candidate.is_outlier);
     }
-    chosen.map(|candidate| candidate.key)
 }
 
 fn best_of_two(
     candidates: &[RouteCandidate],
     tier: PathTier,
+    completion: &dyn Fn(TargetKey) -> CompletionTime,
     rng: &mut dyn RngCore,
-) -> Option<RouteCandidate> {
+) -> Option<(TargetKey, CompletionTime)> {
     let in_tier = || candidates.iter().filter(|candidate| candidate.tier == tier);
     let total = in_tier().map(|candidate| candidate.weight).sum::<f64>();
     let first = pick_weighted(in_tier(), total, rng)?;
     let second = pick_weighted(in_tier(), total, rng)?;
-    if second.completion_s < first.completion_s {
+    let (first, second) = (
+        (first.key, completion(first.key)),
+        (second.key, completion(second.key)),
+    );
+    if second.1.local_s < first.1.local_s {
         Some(second)
     } else {
         Some(first)
--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -86,6 +86,9 @@
 
     /// Returns the reported wait in seconds as far as it is believed.
     pub(super) fn wait(&self, now: TickTime) -> f64 {
+        if self.reported_wait_s == 0.0 {
+            return 0.0;
+        }
         self.reported_wait_s * decay(now - self.reported_at, WAIT_HALF_LIFE)
     }
 }
--- a/src/routing/levels.rs
+++ b/src/routing/levels.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use slotmap::SecondaryMap;
+
 use crate::types::{RequestPriority, TickTime};
 
 use super::TargetKey;
@@ -22,7 +24,7 @@
 /// Levels of the targets of one service for one endpoint.
 #[derive(Debug, Default)]
 pub(super) struct EndpointLevels {
-    samples: BTreeMap<TargetKey, LevelSample>,
+    samples: SecondaryMap<TargetKey, LevelSample>,
     used_at: TickTime,
 }
 
@@ -59,7 +61,7 @@
 
     pub(super) fn remove_target(&mut self, key: TargetKey) {
         for levels in self.endpoints.values_mut() {
-            levels.samples.remove(&key);
+            levels.samples.remove(key);
         }
     }
 
@@ -82,7 +84,7 @@
         half_life: Duration,
         key: TargetKey,
     ) -> Option<RequestPriority> {
-        self.samples.get(&key)?.decayed(now, half_life)
+        self.samples.get(key)?.decayed(now, half_life)
     }
 
     /// Returns the lower median over the targets with recent answers: a single target that claims
@@ -105,6 +107,9 @@
         if age > half_life * FORGET_AFTER_HALF_LIVES {
             return None;
         }
+        if self.level.as_raw() == 0 {
+            return Some(self.level);
+        }
         let raw = f64::from(self.level.as_raw()) * decay(age, half_life);
         Some(RequestPriority::from_raw(raw as u16))
     }
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -13,6 +13,7 @@
 const DEFAULT_EJECT_MIN_ATTEMPTS: u32 = 20;
 const DEFAULT_EJECT_FOR: Duration = Duration::from_secs(2);
 const DEFAULT_EJECT_AT_MOST: Duration = Duration::from_secs(30);
+const DEFAULT_OUTLIER_HOLD: Duration = Duration::from_secs(1);
 const DEFAULT_LEAVING_HOLD: Duration = Duration::from_secs(5);
 const DEFAULT_LEVEL_HALF_LIFE: Duration = Duration::from_secs(1);
 const DEFAULT_PROBE_SHARE: f64 = 0.02;
@@ -65,6 +66,8 @@
     pub eject_at_most: Duration,
     /// Bound on ejected targets of a service.
     pub ejection_bound: EjectionBound,
+    /// Time between trials of a target that is much slower than the others; zero for no hold.
+    pub outlier_hold: Duration,
     /// Time after a notice of leaving in which an announcement of readiness is not believed.
     pub leaving_hold: Duration,
     /// Half-life of a learnt admission level.
@@ -89,6 +92,7 @@
             eject_for: DEFAULT_EJECT_FOR,
             eject_at_most: DEFAULT_EJECT_AT_MOST,
             ejection_bound: EjectionBound::Third,
+            outlier_hold: DEFAULT_OUTLIER_HOLD,
             leaving_hold: DEFAULT_LEAVING_HOLD,
             level_half_life: DEFAULT_LEVEL_HALF_LIFE,
             probe_share: DEFAULT_PROBE_SHARE,
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -16,6 +16,10 @@
 
 /// Weight of one answer in the latency that is typical of a service.
 const TYPICAL_GAIN: f64 = 0.05;
+/// Multiple of the typical latency from which an answer counts as slow.
+const SLOW_FACTOR: f64 = 4.0;
+/// Slow answers in a row after which a target is held back.
+const SLOW_ANSWERS: u8 = 3;
 /// Services remembered as called; only granted services get this far.
 const MAX_CALLED_SERVICES: usize = 1_024;
 
@@ -31,6 +35,9 @@
 }
 
 impl PathTier {
+    /// All distances, nearest first.
+    pub(super) const ALL: [Self; 3] = [Self::SameZone, Self::SameRegion, Self::OtherRegion];
+
     pub(super) const fn cost(self, settings: &RoutingSettings) -> Duration {
         match self {
             Self::SameZone => Duration::ZERO,
@@ -53,6 +60,8 @@
     warm_from: TickTime,
     pub(super) estimate: TargetEstimate,
     health: HealthMachine,
+    slow_answers: u8,
+    held_until: TickTime,
 }
 
 /// Targets of one service.
@@ -185,6 +194,8 @@
             warm_from: now,
             estimate: TargetEstimate::default(),
             health: new_machine(&self.settings),
+            slow_answers: 0,
+            held_until: now,
         });
         self.by_node.insert(record.node_id, key);
         self.by_service.entry(service).or_default().keys.push(key);
@@ -262,6 +273,8 @@
         };
         slot.estimate.add(now, settings.latency_memory, sample);
         if is_success {
+            let is_slow = service.is_slow(sample.latency);
+            slot.note_slowness(now, is_slow, settings);
             service.note_typical(sample.latency);
         }
         let event = HealthEvent::Verdict {
@@ -353,6 +366,12 @@
 }
 
 impl ServiceTargets {
+    fn is_slow(&self, latency: Duration) -> bool {
+        let latency_s = latency.as_secs_f64();
+        self.typical_s
+            .is_some_and(|typical_s| latency_s > typical_s * SLOW_FACTOR)
+    }
+
     fn note_typical(&mut self, latency: Duration) {
         let latency_s = latency.as_secs_f64();
         let typical = self.typical_s.get_or_insert(latency_s);
@@ -379,8 +398,25 @@
         }
     }
 
+    // A single slow answer may be due to its request.
+    fn note_slowness(&mut self, now: TickTime, is_slow: bool, settings: &RoutingSettings) {
+        self.slow_answers = if is_slow {
+            self.slow_answers.saturating_add(1)
+        } else {
+            0
+        };
+        self.held_until = now + settings.outlier_hold;
+    }
+
+    /// Returns whether the target is much slower than the others and is not due for a trial.
+    pub(super) fn is_held(&self, now: TickTime) -> bool {
+        let is_slow = self.slow_answers >= SLOW_ANSWERS;
+        is_slow && (now < self.held_until || self.in_flight > 0)
+    }
+
     fn restart(&mut self, now: TickTime) {
         self.warm_from = now;
+        self.slow_answers = 0;
         self.estimate.reset();
     }
 
