--- a/examples/routing_policy.rs
+++ b/examples/routing_policy.rs
@@ -15,6 +15,7 @@
     share_moves::measure_moved_demand();
     share_moves::measure_contention();
     share_moves::measure_slow_caller();
+    share_moves::measure_renewal();
     choose_cost::measure_time();
     choose_cost::measure_memory();
 }
--- a/examples/routing_policy/share_moves.rs
+++ b/examples/routing_policy/share_moves.rs
@@ -1,7 +1,7 @@
 //! Simulated callers whose demand moves between entry nodes.
 
 use std::collections::VecDeque;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ebonyjunction::generated::{CallerRow, PlanRow, PlanSet};
 use ebonyjunction::plans::PlanBook;
@@ -285,3 +285,28 @@
         );
     }
 }
+
+/// Time of one renewal for a caller that is active at all nodes of the design size.
+pub(crate) fn measure_renewal() {
+    const NODES: usize = 580;
+    const ROUNDS: u64 = 20;
+    let mut sim = ShareSim::new(0, 10_000, 10_000);
+    let mut spent = Duration::ZERO;
+    for round in 0..ROUNDS {
+        for node in 0..NODES {
+            let demand = RateDemand {
+                caller: sim.caller.clone(),
+                offered_per_s: 10,
+                held_per_s: 0,
+                held_for: Duration::ZERO,
+            };
+            let now = millis(3_000 + round * 1_000 + node as u64);
+            let start = Instant::now();
+            sim.ledger.renew(now, node_id(node), &[demand], &sim.book);
+            spent += start.elapsed();
+        }
+    }
+    let renewals = ROUNDS as f64 * NODES as f64;
+    let micros = spent.as_secs_f64() * 1e6 / renewals;
+    println!("shares.renew_us={micros:.2}");
+}
--- a/examples/routing_policy/target_faults.rs
+++ b/examples/routing_policy/target_faults.rs
@@ -67,6 +67,8 @@
     offered_in_fault: usize,
     good_in_fault: usize,
     latencies_us: Vec<u64>,
+    // Calls to the first target by window of arrival.
+    to_first: Vec<usize>,
     // Offered and good calls by window of arrival.
     windows: Vec<(usize, usize)>,
 }
@@ -134,6 +136,9 @@
         let target = keys.iter().position(|other| *other == key).unwrap_or(0);
         self.figures.sent_in_fault += usize::from(in_fault);
         self.figures.sent_to_first += usize::from(in_fault && target == 0);
+        if target == 0 {
+            self.figures.count_first(now_us);
+        }
         let call = CallInFlight {
             caller,
             key,
@@ -231,6 +236,23 @@
 }
 
 impl FaultFigures {
+    fn count_first(&mut self, now_us: u64) {
+        let index = (now_us / 1_000 / WINDOW_MS) as usize;
+        if self.to_first.len() <= index {
+            self.to_first.resize(index + 1, 0);
+        }
+        self.to_first[index] += 1;
+    }
+
+    /// Returns the seconds after the fault until the first target gets half of its even share.
+    fn regain_s(&self) -> f64 {
+        let first = ((WARM_UP_MS + FAULT_MS) / WINDOW_MS) as usize;
+        let half = CALLS_PER_S * WINDOW_MS as f64 / 1e3 / TARGETS as f64 / 2.0;
+        let windows = self.to_first.iter().skip(first);
+        let low = windows.take_while(|calls| (**calls as f64) < half).count();
+        (low as u64 * WINDOW_MS) as f64 / 1e3
+    }
+
     fn p99_ms(&mut self) -> f64 {
         self.latencies_us.sort_unstable();
         let index = self.latencies_us.len() * 99 / 100;
@@ -324,6 +346,7 @@
             let goodput = figures.good_in_fault as f64 * 100.0 / figures.offered_in_fault as f64;
             println!("{prefix}.share_percent={share:.2}");
             println!("{prefix}.p99_ms={:.1}", figures.p99_ms());
+            println!("{prefix}.regain_s={:.1}", figures.regain_s());
             println!("{prefix}.goodput_percent={goodput:.2}");
         }
     }
