--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -162,7 +162,19 @@
         Some(now.saturating_since(confirmed_at))
     }
 
+    /// Returns whether a message of a leader is meant for another disk of this replica.
+    fn is_misdirected(&self, message: &PeerMessage) -> bool {
+        match message {
+            PeerMessage::Append(request) => request.receiver_disk_id != self.own.disk_id,
+            PeerMessage::Snapshot(chunk) => chunk.receiver_disk_id != self.own.disk_id,
+            _ => false,
+        }
+    }
+
     fn receive(&mut self, now: TickTime, from: u64, message: PeerMessage) -> Result<()> {
+        if self.is_misdirected(&message) {
+            return Ok(());
+        }
         match message {
             PeerMessage::Vote(request) => self.on_vote(now, from, &request),
             PeerMessage::VoteReply(reply, is_pre_vote) => {
--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -1,5 +1,7 @@
 //! Pre-votes, votes and the change of leaders.
 
+use bytes::Bytes;
+
 use super::leader::LeaderState;
 use super::membership_history::{is_superseded, quorum_size};
 use super::{PeerMessage, ReplicaCore, ReplicaRole};
@@ -54,9 +56,14 @@
             last_index,
             last_term: self.store.term_at(last_index).unwrap_or_default(),
             pre_vote,
+            receiver_disk_id: Bytes::new(),
         };
         for voter in self.other_voters() {
-            self.send(voter, PeerMessage::Vote(request.clone()));
+            let request = VoteRequest {
+                receiver_disk_id: voter.disk_id.clone(),
+                ..request.clone()
+            };
+            self.send(voter, PeerMessage::Vote(request));
         }
     }
 
@@ -83,6 +90,10 @@
 
     /// Answers a request for a vote or pre-vote.
     ///
+    /// The candidate's log must list the own disk as a voter, so an empty folder has no vote. The own
+    /// log need not hold that entry yet: if only the candidate survived with it, both are needed for
+    /// a quorum. The candidate then holds all entries before the promotion, so none can be lost.
+    ///
     /// While a leader was heard within the shortest election timeout, requests are refused without
     /// taking the term over. The leader's freshness lease depends on this.
     pub(super) fn on_vote(
@@ -93,7 +104,7 @@
     ) -> Result<()> {
         let candidate = request.candidate.clone().unwrap_or_default();
         let is_refused = candidate.replica_id != from
-            || !self.is_voter()
+            || request.receiver_disk_id != self.own.disk_id
             || self.has_recent_leader(now)
             || request.term < self.term();
         let granted = if is_refused {
--- a/src/consensus/join.rs
+++ b/src/consensus/join.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::membership_history::reachable_others;
 use super::{PeerMessage, ReplicaCore};
 use crate::error::Result;
 use crate::generated::command::Change;
@@ -52,7 +53,7 @@
 impl ReplicaCore {
     /// Asks to join while the replica has no place in the membership.
     pub(super) fn tick_join(&mut self, now: TickTime) -> Result<()> {
-        if self.is_settled() || now < self.join.next_request {
+        if self.is_settled(now) || now < self.join.next_request {
             return Ok(());
         }
         self.join.next_request = now + self.settings.join_interval;
@@ -65,11 +66,20 @@
         self.found_cluster(now)
     }
 
-    /// Returns whether the log is not empty and lists the replica under its disk and address.
-    fn is_settled(&self) -> bool {
-        let membership = self.members.current();
+    /// Returns whether the replica has its place: a committed membership lists it under its disk and
+    /// address, and the leader still sends to this disk.
+    ///
+    /// An uncommitted membership may be overwritten, and a delayed join request of a former disk may
+    /// have taken the place; in both cases the leader would not know of this disk.
+    fn is_settled(&self, now: TickTime) -> bool {
+        let patience = self.settings.election_timeout_max * 2;
+        let is_led = self.leading.is_some()
+            || self
+                .leader_contact
+                .is_some_and(|contact| now.saturating_since(contact) <= patience);
+        let membership = self.members.at(self.commit_index);
         let mut members = membership.voters.iter().chain(&membership.learners);
-        self.store.last_index() > 0 && members.any(|info| *info == self.own)
+        is_led && self.commit_index > 0 && members.any(|info| *info == self.own)
     }
 
     fn join_receivers(&self) -> Vec<ReplicaInfo> {
@@ -96,14 +106,14 @@
         let verdict = if is_empty {
             let asked = (replica.clone(), now);
             self.join.asked.insert(replica.replica_id, asked);
-            Err("this replica holds no log".to_owned())
+            Err("this replica holds no log")
         } else {
-            self.admit_learner(&replica)?
+            self.admit_learner(now, &replica)?
         };
         let reply = JoinReply {
             accepted: verdict.is_ok(),
             membership: (!is_empty).then(|| self.members.current().clone()),
-            reason: verdict.err().unwrap_or_default(),
+            reason: verdict.err().unwrap_or_default().to_owned(),
             disk_id: replica.disk_id.clone(),
         };
         self.send(replica, PeerMessage::JoinReply(reply));
@@ -114,23 +124,31 @@
     }
 
     /// Logs a membership with the replica in it; the inner error is the reason for a refusal.
-    fn admit_learner(&mut self, replica: &ReplicaInfo) -> Result<Result<(), String>> {
+    fn admit_learner(
+        &mut self,
+        now: TickTime,
+        replica: &ReplicaInfo,
+    ) -> Result<Result<(), &'static str>> {
+        let Some(leading) = &self.leading else {
+            return Ok(Err("this replica is not the leader"));
+        };
         let membership = self.members.current();
-        let mut members = membership.voters.iter().chain(&membership.learners);
-        if members.any(|info| info == replica) {
+        if reachable_others(membership, &self.own).any(|info| info == replica) {
             return Ok(Ok(()));
         }
-        if self.leading.is_none() {
-            return Ok(Err("this replica is not the leader".to_owned()));
-        }
-        if replica.replica_id == self.own.replica_id {
-            return Ok(Err("the leader uses this replica id".to_owned()));
+        let is_used = leading.peers.values().any(|peer| {
+            peer.info.replica_id == replica.replica_id
+                && peer.info.disk_id != replica.disk_id
+                && self.is_answering(now, peer)
+        });
+        if is_used || replica.replica_id == self.own.replica_id {
+            return Ok(Err("a replica that answers uses this replica id"));
         }
         if !self.can_change_membership() {
-            return Ok(Err("another membership change is in progress".to_owned()));
+            return Ok(Err("another membership change is in progress"));
         }
         let Some(changed) = with_learner(membership, replica, self.settings.max_voters) else {
-            return Ok(Err("there are enough replicas".to_owned()));
+            return Ok(Err("there are enough replicas"));
         };
         self.append_membership(changed)?;
         Ok(Ok(()))
@@ -156,7 +174,8 @@
 
     /// Makes a learner a voter once it holds every committed entry on disk.
     ///
-    /// What was committed while its last answer was on the way is not waited for; otherwise a steady
+    /// The first entry of the term must be among them: a new leader does not know yet how far earlier
+    /// leaders have committed. What was committed while its last answer was on the way is not waited for; otherwise a steady
     /// load could delay the promotion forever. It can vote and count towards a quorum only after
     /// those entries, since they precede the promotion in the log.
     pub(super) fn promote_learner(&mut self, now: TickTime) -> Result<()> {
@@ -169,7 +188,11 @@
         let membership = self.members.current();
         let is_ready = |learner: &&ReplicaInfo| {
             let peer = leading.peers.get(&learner.disk_id);
-            peer.is_some_and(|peer| peer.is_caught_up && self.is_answering(now, peer))
+            peer.is_some_and(|peer| {
+                peer.is_caught_up
+                    && peer.match_index >= leading.term_start
+                    && self.is_answering(now, peer)
+            })
         };
         let Some(learner) = membership.learners.iter().find(is_ready) else {
             return Ok(());
@@ -188,18 +211,8 @@
             return;
         };
         self.join.is_founded = true;
-        let is_listed = membership
-            .voters
-            .iter()
-            .any(|info| info.disk_id == self.own.disk_id);
         let members = membership.voters.iter().chain(&membership.learners);
         self.join.known = members.cloned().collect();
-        // Only an initial replica can be a voter with an empty log: a learner is promoted after it
-        // has confirmed entries on disk. It may vote, since its disk never confirmed anything else.
-        if is_listed && self.store.last_index() == 0 {
-            self.members.set_base(membership);
-            self.refresh_role();
-        }
     }
 
     /// Writes the first configuration if all initial replicas are present and hold no log.
@@ -218,22 +231,20 @@
         let state = self.store.hard_state();
         let term = state.term.max(FOUNDING_TERM);
         self.store.set_hard_state(HardState { term, ..state })?;
-        let membership = Membership {
-            voters,
-            learners: Vec::new(),
-        };
         let entry = LogEntry {
             index: 1,
             term: FOUNDING_TERM,
             command: Some(Command {
-                change: Some(Change::Membership(membership.clone())),
+                change: Some(Change::Membership(Membership {
+                    voters,
+                    learners: Vec::new(),
+                })),
             }),
         };
         self.store.append(std::slice::from_ref(&entry))?;
         self.sync_log()?;
         self.members.note_entry(&entry);
         self.refresh_role();
-        self.announce_founding(&membership);
         Ok(())
     }
 
@@ -256,41 +267,26 @@
         }
         Some(voters)
     }
-
-    fn announce_founding(&mut self, membership: &Membership) {
-        for voter in &membership.voters {
-            if voter.disk_id == self.own.disk_id {
-                continue;
-            }
-            let reply = JoinReply {
-                accepted: true,
-                membership: Some(membership.clone()),
-                reason: String::new(),
-                disk_id: voter.disk_id.clone(),
-            };
-            self.send(voter.clone(), PeerMessage::JoinReply(reply));
-        }
-    }
 }
 
 /// Returns the membership with a replica under its current disk and address.
 ///
-/// A member with the same disk only gets the new address. Otherwise the replica becomes a learner,
-/// and replaces a learner with the same identity and another disk.
+/// A member with the same disk only gets the new address. Otherwise the replica becomes a learner.
+/// Learners with the same identity and another disk are dropped.
 fn with_learner(
     membership: &Membership,
     replica: &ReplicaInfo,
     max_voters: usize,
 ) -> Option<Membership> {
     let mut changed = membership.clone();
+    changed
+        .learners
+        .retain(|info| info.replica_id != replica.replica_id || info.disk_id == replica.disk_id);
     let mut members = changed.voters.iter_mut().chain(&mut changed.learners);
     if let Some(info) = members.find(|info| info.disk_id == replica.disk_id) {
         info.address.clone_from(&replica.address);
         return Some(changed);
     }
-    changed
-        .learners
-        .retain(|info| info.replica_id != replica.replica_id);
     changed.learners.push(replica.clone());
     (expected_voters(&changed) <= max_voters).then_some(changed)
 }
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -191,6 +191,7 @@
             commit_index: self.commit_index,
             entries,
             sequence: 0,
+            receiver_disk_id: disk_id.clone(),
         };
         self.send_request(now, disk_id, request);
     }
--- a/src/consensus/snapshot_transfer.rs
+++ b/src/consensus/snapshot_transfer.rs
@@ -82,6 +82,7 @@
             data: transfer.data.slice(transfer.offset..end),
             done: end == transfer.data.len(),
             sequence,
+            receiver_disk_id: disk_id.clone(),
         };
         let to = peer.info.clone();
         self.send(to, PeerMessage::Snapshot(chunk));
