--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -221,7 +221,11 @@
 impl Fleet {
     /// Starts replicas and endpoints, applies the lists and waits until all nodes serve.
     pub(crate) fn start(services: &[ServiceSpec], plans: &str, grants: &str) -> Self {
-        let folder = tempfile::tempdir().expect("temporary folder");
+        // FLEET_KEEP=1 keeps settings and logs for a look after the run.
+        let is_kept = std::env::var_os("FLEET_KEEP").is_some();
+        let mut builder = tempfile::Builder::new();
+        let folder = builder.prefix("fleet-").disable_cleanup(is_kept).tempdir();
+        let folder = folder.expect("temporary folder");
         let control = ControlFleet::start(folder.path(), 3);
         let operator_settings = folder.path().join("operator.toml");
         let text = format!(
