--- a/src/shares/ledger.rs
+++ b/src/shares/ledger.rs
@@ -1,6 +1,7 @@
 //! Leader side of the shares.
 
 mod account;
+mod node_account;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -52,9 +53,9 @@
             account.settle(now);
             account.set_limit(now, limit);
             if now < known_from {
-                shares.extend(account.confirm(now, node_id, demand, limit));
+                shares.extend(account.confirm(now, node_id, demand));
             } else {
-                shares.extend(account.grant(now, node_id, demand, limit));
+                shares.extend(account.grant(now, node_id, demand));
             }
         }
         shares
--- /dev/null
+++ b/src/shares/ledger/node_account.rs
@@ -0,0 +1,176 @@
+//! Demand and shares of one caller at one node.
+
+use std::time::Duration;
+
+use crate::types::TickTime;
+
+use super::super::SHARE_LEASE;
+
+/// Factor by which a lease may exceed the measured demand, so that growth is not cut off.
+const DEMAND_HEADROOM: f64 = 1.25;
+/// Time in which half of a change in demand is believed.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(1);
+/// A change by more than this factor and this number is believed at once; less may be chance.
+const DEMAND_JUMP: f64 = 1.5;
+const DEMAND_NOISE_PER_S: f64 = 4.0;
+/// A lease keeps its rate while the rate it should have is at least this part of it. The larger
+/// of two leases counts until it expires, so following random changes would waste the rest.
+const KEEP_RATE: f64 = 0.7;
+/// Offered rate at which a first report already earns a lease.
+const LEASE_AT_ONCE_PER_S: u32 = 5;
+/// Reports in a row that show demand before a slow caller gets a lease; a single request is
+/// served by a deposit, because a lease would tie up the rate for three seconds.
+const REPORTS_FOR_LEASE: u32 = 4;
+
+#[derive(Debug, Default)]
+pub(super) struct NodeAccount {
+    wanted_per_s: f64,
+    reports: u32,
+    seen_at: TickTime,
+    // The node holds one of these; replies may be lost or overtaken.
+    leases: Vec<GivenLease>,
+    deposits: Vec<GivenDeposit>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct GivenLease {
+    rate_per_s: u32,
+    capacity: u32,
+    expires_at: TickTime,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct GivenDeposit {
+    tokens: u32,
+    expires_at: TickTime,
+}
+
+/// Sums over all nodes of an account.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct AccountTotals {
+    pub(super) rate_per_s: u64,
+    pub(super) capacity: u64,
+    pub(super) deposited: u64,
+    // Whole thousandths, so that sums and differences are exact.
+    pub(super) wanted_milli: u64,
+}
+
+impl NodeAccount {
+    pub(super) fn is_active(&self, now: TickTime) -> bool {
+        let is_recent = now.saturating_since(self.seen_at) < SHARE_LEASE;
+        is_recent || !self.leases.is_empty() || !self.deposits.is_empty()
+    }
+
+    pub(super) fn drop_expired(&mut self, now: TickTime) {
+        self.leases.retain(|lease| lease.expires_at > now);
+        self.deposits.retain(|deposit| deposit.expires_at > now);
+        if now.saturating_since(self.seen_at) >= SHARE_LEASE {
+            self.wanted_per_s = 0.0;
+            self.reports = 0;
+        }
+    }
+
+    pub(super) fn note_demand(&mut self, now: TickTime, offered_per_s: u32) {
+        let offered = f64::from(offered_per_s);
+        let age = now.saturating_since(self.seen_at).as_secs_f64();
+        let fade = (-age / DEMAND_HALF_LIFE.as_secs_f64()).exp2();
+        let average = offered + (self.wanted_per_s - offered) * fade;
+        let (low, high) = (
+            offered.min(self.wanted_per_s),
+            offered.max(self.wanted_per_s),
+        );
+        let is_jump = high > low * DEMAND_JUMP + DEMAND_NOISE_PER_S;
+        self.wanted_per_s = if is_jump { offered } else { average };
+        // A node without requests gets no renewal; what it holds lasts through a pause.
+        self.reports = if offered_per_s == 0 {
+            self.wanted_per_s = 0.0;
+            0
+        } else {
+            self.reports + 1
+        };
+        if offered_per_s >= LEASE_AT_ONCE_PER_S {
+            self.reports = self.reports.max(REPORTS_FOR_LEASE);
+        }
+        self.seen_at = now;
+    }
+
+    pub(super) fn is_sustained(&self) -> bool {
+        self.reports >= REPORTS_FOR_LEASE
+    }
+
+    /// Returns the demand with headroom, cut in proportion when all demand exceeds the limit.
+    pub(super) fn target_rate(&self, all_wanted_milli: u64, rate_per_s: u32) -> u32 {
+        let rate = f64::from(rate_per_s);
+        let wanted = self.wanted_per_s * DEMAND_HEADROOM;
+        let all_wanted = all_wanted_milli as f64 / 1e3 * DEMAND_HEADROOM;
+        if all_wanted <= rate {
+            return wanted.ceil().min(rate) as u32;
+        }
+        (rate * wanted / all_wanted) as u32
+    }
+
+    /// Returns the leased rate if it is near the target, otherwise the target.
+    pub(super) fn steady_rate(&self, now: TickTime, target: u32) -> u32 {
+        let leased = self.leased_rate(now);
+        let is_near = target < leased && f64::from(target) >= f64::from(leased) * KEEP_RATE;
+        if is_near { leased } else { target }
+    }
+
+    /// Returns the offered requests that neither a lease nor a deposit covers.
+    pub(super) fn missing_tokens(&self, offered: u32, covered: u32) -> u32 {
+        let deposited: u32 = self.deposits.iter().map(|deposit| deposit.tokens).sum();
+        offered.saturating_sub(covered).saturating_sub(deposited)
+    }
+
+    pub(super) fn push_lease(&mut self, now: TickTime, rate_per_s: u32, capacity: u32) {
+        self.leases
+            .retain(|lease| lease.rate_per_s > rate_per_s || lease.capacity > capacity);
+        self.leases.push(GivenLease {
+            rate_per_s,
+            capacity,
+            expires_at: now + SHARE_LEASE,
+        });
+    }
+
+    pub(super) fn push_deposit(&mut self, expires_at: TickTime, tokens: u32) {
+        self.deposits.push(GivenDeposit { tokens, expires_at });
+    }
+
+    pub(super) fn leased_rate(&self, now: TickTime) -> u32 {
+        let leases = self.leases.iter().filter(|lease| lease.expires_at > now);
+        leases.map(|lease| lease.rate_per_s).max().unwrap_or(0)
+    }
+
+    pub(super) fn leased_capacity(&self, now: TickTime) -> u32 {
+        let leases = self.leases.iter().filter(|lease| lease.expires_at > now);
+        leases.map(|lease| lease.capacity).max().unwrap_or(0)
+    }
+
+    pub(super) fn totals(&self) -> AccountTotals {
+        let rates = self.leases.iter().map(|lease| lease.rate_per_s);
+        let capacities = self.leases.iter().map(|lease| lease.capacity);
+        let deposits = self.deposits.iter();
+        AccountTotals {
+            rate_per_s: rates.max().unwrap_or(0).into(),
+            capacity: capacities.max().unwrap_or(0).into(),
+            deposited: deposits.map(|deposit| u64::from(deposit.tokens)).sum(),
+            wanted_milli: (self.wanted_per_s * 1e3) as u64,
+        }
+    }
+}
+
+impl AccountTotals {
+    pub(super) fn add(&mut self, node: Self) {
+        self.rate_per_s += node.rate_per_s;
+        self.capacity += node.capacity;
+        self.deposited += node.deposited;
+        self.wanted_milli += node.wanted_milli;
+    }
+
+    pub(super) fn subtract(&mut self, node: Self) {
+        self.rate_per_s -= node.rate_per_s;
+        self.capacity -= node.capacity;
+        self.deposited -= node.deposited;
+        self.wanted_milli -= node.wanted_milli;
+    }
+}
