--- a/src/shares.rs
+++ b/src/shares.rs
@@ -33,10 +33,6 @@
 /// a request until the deposit has arrived.
 pub const SCARCE_DEPOSIT_LIFE: Duration = Duration::from_millis(300);
 
-/// Age from which a reply counts as late. A late reply may extend a lease but not create one: a
-/// former leader's lease that it confirms could have expired and been given to another node.
-pub const REPLY_BOUND: Duration = Duration::from_millis(500);
-
 /// One token, counted in parts so that `rate_per_s * nanoseconds` is exact.
 const TOKEN: u64 = 1_000_000_000;
 
--- a/src/shares/bucket.rs
+++ b/src/shares/bucket.rs
@@ -6,7 +6,7 @@
 use crate::plans::{CallerEntry, PlanEntry};
 use crate::types::{CallerName, TickTime};
 
-use super::{REPLY_BOUND, RateDemand, RateShare, SHARE_LEASE, TOKEN, accrued, lease_capacity};
+use super::{RateDemand, RateShare, SHARE_LEASE, TOKEN, accrued, lease_capacity};
 
 /// Regular time between heartbeats, after which a caller without tokens may try again.
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
@@ -68,7 +68,6 @@
             return;
         }
         self.applied_sent_at = Some(sent_at);
-        let is_late = now.saturating_since(sent_at) >= REPLY_BOUND;
         for share in shares {
             let expires_at = sent_at + share.valid_for;
             if expires_at <= now {
@@ -78,7 +77,7 @@
             if share.rate_per_s == 0 {
                 bucket.add_deposit(share.burst, expires_at);
             } else {
-                bucket.set_lease(now, share, sent_at, is_late);
+                bucket.set_lease(now, share, sent_at);
             }
         }
     }
@@ -181,12 +180,15 @@
         self.deposits.push(HeldDeposit { tokens, expires_at });
     }
 
-    fn set_lease(&mut self, now: TickTime, share: &RateShare, sent_at: TickTime, is_late: bool) {
+    // A confirmation extends a lease but never creates one: the former leader may have let the lease
+    // expire and given its rate to another node before the reply arrived.
+    fn set_lease(&mut self, now: TickTime, share: &RateShare, sent_at: TickTime) {
         self.drop_expired(now);
         let is_confirmation = share.burst == 0;
         match &mut self.lease {
-            Some(lease) => lease.replace(now, share, sent_at, is_late),
-            None if is_late || is_confirmation => {}
+            Some(lease) if is_confirmation => lease.extend(now, share, sent_at),
+            Some(lease) => lease.replace(now, share, sent_at),
+            None if is_confirmation => {}
             None => self.lease = Some(HeldLease::new(now, share, sent_at)),
         }
     }
@@ -253,18 +255,20 @@
         }
     }
 
-    fn replace(&mut self, now: TickTime, share: &RateShare, sent_at: TickTime, is_late: bool) {
+    fn replace(&mut self, now: TickTime, share: &RateShare, sent_at: TickTime) {
         self.refill(now);
-        let late_bound = if is_late { self.rate_per_s } else { u32::MAX };
-        self.rate_per_s = share.rate_per_s.min(late_bound);
+        self.rate_per_s = share.rate_per_s;
+        self.capacity = u64::from(share.burst) * TOKEN;
+        self.tokens = self.tokens.min(self.capacity);
+        self.granted_at = sent_at;
         self.expires_at = sent_at + share.valid_for;
-        if share.burst > 0 {
-            self.granted_at = sent_at;
-            self.capacity = u64::from(share.burst) * TOKEN;
-            self.tokens = self.tokens.min(self.capacity);
-        } else {
-            self.expires_at = self.expires_at.min(self.granted_at + CONFIRMED_LEASE);
-        }
+    }
+
+    fn extend(&mut self, now: TickTime, share: &RateShare, sent_at: TickTime) {
+        self.refill(now);
+        self.rate_per_s = share.rate_per_s.min(self.rate_per_s);
+        let longest = self.granted_at + CONFIRMED_LEASE;
+        self.expires_at = (sent_at + share.valid_for).min(longest);
     }
 
     fn refill(&mut self, now: TickTime) {
--- a/src/shares/ledger/account.rs
+++ b/src/shares/ledger/account.rs
@@ -7,8 +7,8 @@
 use crate::types::{NodeId, TickTime};
 
 use super::super::{
-    DEPOSIT_LIFE, REPLY_BOUND, RateDemand, RateShare, SCARCE_DEPOSIT_LIFE, SHARE_LEASE, TOKEN,
-    accrued, lease_capacity,
+    DEPOSIT_LIFE, RateDemand, RateShare, SCARCE_DEPOSIT_LIFE, SHARE_LEASE, TOKEN, accrued,
+    lease_capacity,
 };
 use super::fill_time;
 use super::node_account::{AccountTotals, NodeAccount};
@@ -125,10 +125,6 @@
         demand: &RateDemand,
     ) -> Option<RateShare> {
         self.note_demand(now, node_id, demand.offered_per_s);
-        // A shorter rest could have ended before this leader's term began.
-        if demand.held_for <= REPLY_BOUND {
-            return None;
-        }
         let free = self.free_rate(now, node_id);
         let rate_per_s = demand.held_per_s.min(free);
         let capacity = self.limit.capacity(rate_per_s);
--- a/src/shares/message.rs
+++ b/src/shares/message.rs
@@ -28,7 +28,8 @@
     pub caller: CallerName,
     /// Rate of the lease; 0 makes the share a deposit of `burst` tokens.
     pub rate_per_s: u32,
-    /// Capacity of the leased bucket, 0 to keep the present one; or tokens of the deposit.
+    /// Capacity of the leased bucket, or tokens of the deposit; 0 for a lease that is confirmed
+    /// by a new leader and keeps its capacity.
     pub burst: u32,
     /// Time for which the share holds, from when the heartbeat was sent.
     pub valid_for: Duration,
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -149,6 +149,55 @@
     }
 }
 
+// Guards against a lease that begins with a full bucket: a node whose leases lapse again and again
+// would get the burst each time.
+#[test]
+fn renew_lapsed_lease() {
+    let mut world = ShareWorld::new(1, 20, 20);
+    let mut admitted = 0_u32;
+    for step in 0..6_000_u32 {
+        if step % 510 < 200 && step % 50 == 0 {
+            world.heartbeat(0);
+        }
+        admitted += u32::from(take(&mut world.buckets[0], world.now, &world.book).is_ok());
+        let bound = 20 + step / 5 + 1;
+        assert!(admitted <= bound, "{admitted} admitted, {bound} allowed");
+        world.advance(10);
+    }
+}
+
+// Guards against a new leader that confirms a lease which its predecessor let expire and gave to
+// another node, when the heartbeat or the reply was delayed for long.
+#[test]
+fn renew_delayed_heartbeat() {
+    for rest_ms in [400, 1_500] {
+        let mut world = ShareWorld::new(2, 100, 100);
+        for _ in 0..50 {
+            world.offer(0);
+        }
+        world.advance(1);
+        world.heartbeat(0);
+        world.advance(3_000 - rest_ms);
+        world.offer(0);
+        let sent_at = world.now;
+        let demands = world.buckets[0].demands(sent_at);
+        assert!(demands[0].held_per_s > 50);
+        world.advance(rest_ms + 100);
+        for _ in 0..100 {
+            world.offer(1);
+        }
+        world.advance(1);
+        world.heartbeat(1);
+        assert!(world.buckets[1].held_rate(world.now, &caller_name()) > 50);
+        world.ledger = ShareLedger::new(world.now);
+        let shares = world
+            .ledger
+            .renew(world.now, node_id(0), &demands, &world.book);
+        world.buckets[0].update(sent_at, world.now, &shares);
+        assert_eq!(world.buckets[0].held_rate(world.now, &caller_name()), 0);
+    }
+}
+
 // Guards against a reply that overtook a newer one and brings back an old share.
 #[test]
 fn update_overtaken_reply() {
