--- a/examples/log_throughput.rs
+++ b/examples/log_throughput.rs
@@ -1,6 +1,8 @@
 //! Measures the replicated log on real files: commits per second, latency, and reopening.
 //!
-//! Prints one `key=value` line per figure. The three-replica runs use one thread per replica and pass
+//! Prints one `key=value` line per figure. With `write FOLDER COUNT` it writes a log of that length,
+//! and with `open FOLDER` it reopens one and prints the memory that took, which is exact only in a
+//! process that did nothing else. The three-replica runs use one thread per replica and pass
 //! messages through channels, so they include three disks' syncs on one machine but no network.
 
 use std::collections::BTreeMap;
@@ -33,6 +35,17 @@
 const ENTRIES_PER_SYNC: usize = 10;
 
 fn main() -> AnyResult<()> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    match words[..] {
+        [] => measure_all(),
+        ["write", folder, count] => write_log(Path::new(folder), count.parse()?),
+        ["open", folder] => measure_memory(Path::new(folder)),
+        _ => Err("expected no arguments, `write FOLDER COUNT` or `open FOLDER`".into()),
+    }
+}
+
+fn measure_all() -> AnyResult<()> {
     for replicas in [1, 3] {
         for in_flight in IN_FLIGHT {
             measure_commits(replicas, in_flight)?;
@@ -263,9 +276,8 @@
     }
 }
 
-fn measure_reopen(entries: u64) -> AnyResult<()> {
-    let folder = tempfile::tempdir()?;
-    let mut store = FileStore::open(folder.path())?;
+fn write_log(folder: &Path, entries: u64) -> AnyResult<()> {
+    let mut store = FileStore::open(folder)?;
     store.set_hard_state(HardState {
         term: 1,
         vote: Some(1),
@@ -281,7 +293,12 @@
         store.append(batch)?;
         store.sync()?;
     }
-    drop((store, all));
+    Ok(())
+}
+
+fn measure_reopen(entries: u64) -> AnyResult<()> {
+    let folder = tempfile::tempdir()?;
+    write_log(folder.path(), entries)?;
     let mut times = Vec::new();
     for _ in 0..REOPEN_RUNS {
         let started = Instant::now();
@@ -290,17 +307,21 @@
         drop(store);
     }
     times.sort_unstable();
-    let before = resident_kib()?;
-    let store = FileStore::open(folder.path())?;
-    let added = resident_kib()?.saturating_sub(before);
     println!("reopen_{entries}_median_us={}", times[REOPEN_RUNS / 2]);
     println!("reopen_{entries}_max_us={}", times[REOPEN_RUNS - 1]);
     println!(
         "reopen_{entries}_file_bytes={}",
         folder_bytes(folder.path())?
     );
-    println!("reopen_{entries}_added_rss_kib={added}");
-    println!("reopen_{entries}_last_index={}", store.last_index());
+    Ok(())
+}
+
+fn measure_memory(folder: &Path) -> AnyResult<()> {
+    let before = resident_kib()?;
+    let store = FileStore::open(folder)?;
+    let added = resident_kib()?.saturating_sub(before);
+    println!("open_entries={}", store.last_index());
+    println!("open_added_rss_kib={added}");
     Ok(())
 }
 
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -166,7 +166,8 @@
         let Some(peer) = leading.peers.get(disk_id) else {
             return;
         };
-        let previous_index = peer.next_index - 1;
+        let next_index = peer.next_index;
+        let previous_index = next_index - 1;
         let previous_term = self.store.term_at(previous_index);
         let can_take = !peer.is_probing
             && peer.transfer.is_none()
@@ -177,7 +178,7 @@
         let entries = match previous_term {
             Some(_) if can_take => self
                 .store
-                .entries(peer_next(previous_index), self.settings.max_append_bytes),
+                .entries(next_index, self.settings.max_append_bytes),
             _ => Vec::new(),
         };
         if entries.is_empty() && !is_heartbeat {
@@ -243,7 +244,3 @@
         Ok(())
     }
 }
-
-fn peer_next(previous_index: u64) -> u64 {
-    previous_index + 1
-}
--- /dev/null
+++ b/tests/replica_rules.rs
@@ -0,0 +1,333 @@
+//! Rules of the replicated log that random schedules reach too rarely, each in a fixed exchange.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyjunction::consensus::{
+    PeerMessage, ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaRole, ReplicaSettings,
+};
+use ebonyjunction::generated::command::Change;
+use ebonyjunction::generated::{
+    AppendReply, AppendRequest, Command, ExpireCommand, JoinReply, JoinRequest, LogEntry,
+    Membership, ReplicaInfo, VoteReply, VoteRequest,
+};
+use ebonyjunction::storage::{HardState, LogStore, MemoryStore};
+use ebonyjunction::types::TickTime;
+
+fn disk(id: u8) -> Bytes {
+    vec![id; 16].into()
+}
+
+fn info(id: u8) -> ReplicaInfo {
+    ReplicaInfo {
+        replica_id: u64::from(id),
+        address: format!("replica-{id}"),
+        disk_id: disk(id),
+    }
+}
+
+fn membership() -> Membership {
+    Membership {
+        voters: (1..=3).map(info).collect(),
+        learners: Vec::new(),
+    }
+}
+
+fn at(millis: u64) -> TickTime {
+    TickTime::from_millis(millis)
+}
+
+fn expire(created_before_ms: u64) -> Command {
+    let change = Change::Expire(ExpireCommand { created_before_ms });
+    Command {
+        change: Some(change),
+    }
+}
+
+fn entry(index: u64, term: u64, command: Command) -> LogEntry {
+    LogEntry {
+        index,
+        term,
+        command: Some(command),
+    }
+}
+
+/// Creates replica 1 of three with the first configuration and one entry of term 2 on disk.
+fn replica() -> ReplicaCore {
+    let mut store = MemoryStore::new([1; 16]);
+    let first = Command {
+        change: Some(Change::Membership(membership())),
+    };
+    store
+        .append(&[entry(1, 1, first), entry(2, 2, expire(1))])
+        .unwrap();
+    store
+        .set_hard_state(HardState {
+            term: 3,
+            vote: None,
+        })
+        .unwrap();
+    let settings = ReplicaSettings::default();
+    ReplicaCore::new(settings, info(1), Box::new(store), membership(), at(0), 7).unwrap()
+}
+
+fn deliver(core: &mut ReplicaCore, now: u64, from: u8, message: PeerMessage) -> Vec<PeerMessage> {
+    let from = u64::from(from);
+    let event = ReplicaEvent::Message { from, message };
+    sent(core.step(at(now), event).unwrap())
+}
+
+fn sent(actions: Vec<ReplicaAction>) -> Vec<PeerMessage> {
+    let message = |action| match action {
+        ReplicaAction::Send { message, .. } => Some(message),
+        _ => None,
+    };
+    actions.into_iter().filter_map(message).collect()
+}
+
+fn tick(core: &mut ReplicaCore, now: u64) -> Vec<PeerMessage> {
+    sent(core.step(at(now), ReplicaEvent::Tick).unwrap())
+}
+
+fn grant(core: &mut ReplicaCore, now: u64, term: u64, is_pre_vote: bool) -> Vec<PeerMessage> {
+    let reply = VoteReply {
+        term,
+        granted: true,
+    };
+    deliver(core, now, 2, PeerMessage::VoteReply(reply, is_pre_vote))
+}
+
+/// Elects replica 1 for term 4 at 700 ms; its log then ends with entry 3 of that term.
+fn leader() -> ReplicaCore {
+    let mut core = replica();
+    tick(&mut core, 700);
+    grant(&mut core, 700, 4, true);
+    grant(&mut core, 700, 4, false);
+    sent(core.flush(at(700)).unwrap());
+    assert_eq!((core.role(), core.term()), (ReplicaRole::Leader, 4));
+    core
+}
+
+fn accept(core: &mut ReplicaCore, now: u64, id: u8, last_index: u64, sequence: u64) {
+    let reply = AppendReply {
+        term: core.term(),
+        accepted: true,
+        last_index,
+        disk_id: disk(id),
+        sequence,
+    };
+    deliver(core, now, id, PeerMessage::AppendReply(reply));
+    core.flush(at(now)).unwrap();
+}
+
+/// Returns the sequence of the latest append to a replica among some messages.
+fn sequence_to(messages: &[PeerMessage], id: u8) -> u64 {
+    let sequence = |message: &PeerMessage| match message {
+        PeerMessage::Append(request) if request.receiver_disk_id == disk(id) => {
+            Some(request.sequence)
+        }
+        _ => None,
+    };
+    messages.iter().filter_map(sequence).max().unwrap()
+}
+
+fn vote_request(term: u64, pre_vote: bool) -> PeerMessage {
+    PeerMessage::Vote(VoteRequest {
+        term,
+        candidate: Some(info(3)),
+        last_index: 50,
+        last_term: 3,
+        pre_vote,
+        receiver_disk_id: disk(1),
+    })
+}
+
+fn is_granted(messages: &[PeerMessage]) -> bool {
+    matches!(messages, [PeerMessage::VoteReply(reply, _)] if reply.granted)
+}
+
+/// Guards against committing an entry of an earlier term by counting copies, which a later leader
+/// may still overwrite.
+#[test]
+fn commit_waits_for_entry_of_own_term() {
+    let mut core = leader();
+    accept(&mut core, 710, 2, 2, 1);
+    assert_eq!(core.commit_index(), 0);
+    accept(&mut core, 720, 2, 3, 1);
+    assert_eq!(core.commit_index(), 3);
+}
+
+/// Guards against a follower that confirms entries before they are on disk.
+#[test]
+fn append_reply_waits_for_flush() {
+    let mut core = replica();
+    let request = AppendRequest {
+        term: 3,
+        leader_id: 2,
+        previous_index: 2,
+        previous_term: 2,
+        entries: vec![entry(3, 3, expire(2))],
+        receiver_disk_id: disk(1),
+        ..AppendRequest::default()
+    };
+    assert_eq!(deliver(&mut core, 10, 2, PeerMessage::Append(request)), []);
+    let messages = sent(core.flush(at(20)).unwrap());
+    let [PeerMessage::AppendReply(reply)] = &messages[..] else {
+        panic!("{messages:?}");
+    };
+    assert!(reply.accepted && reply.last_index == 3, "{reply:?}");
+}
+
+/// Guards against entries that a new leader replaced before the sync and that are confirmed all the
+/// same to the former leader.
+#[test]
+fn append_reply_is_dropped_with_its_term() {
+    let mut core = replica();
+    let mut request = AppendRequest {
+        term: 3,
+        leader_id: 2,
+        previous_index: 2,
+        previous_term: 2,
+        entries: vec![entry(3, 3, expire(2))],
+        receiver_disk_id: disk(1),
+        ..AppendRequest::default()
+    };
+    deliver(&mut core, 10, 2, PeerMessage::Append(request.clone()));
+    request.term = 4;
+    request.leader_id = 3;
+    request.entries = vec![entry(3, 4, expire(3))];
+    deliver(&mut core, 11, 3, PeerMessage::Append(request));
+    let messages = sent(core.flush(at(20)).unwrap());
+    assert!(
+        matches!(&messages[..], [PeerMessage::AppendReply(reply)] if reply.term == 4),
+        "{messages:?}"
+    );
+}
+
+/// Guards against a lease that starts when the answer arrives, and against one that counts before
+/// the leader knows all committed entries.
+#[test]
+fn quorum_age_counts_from_send_time() {
+    let mut core = leader();
+    let heartbeats = tick(&mut core, 800);
+    let sequence = sequence_to(&heartbeats, 2);
+    assert_eq!(core.quorum_age(at(800)), None);
+    accept(&mut core, 990, 2, 3, sequence);
+    let age = core.quorum_age(at(1_000));
+    assert_eq!(age, Some(Duration::from_millis(200)));
+    // An answer to an append that was already answered does not renew the lease.
+    accept(&mut core, 995, 2, 3, sequence);
+    assert_eq!(core.quorum_age(at(1_000)), age);
+}
+
+/// Guards against a vote that ends the lease of a leader which this replica may have confirmed: right
+/// after a start, and while the leader is heard.
+#[test]
+fn vote_is_refused_while_leader_may_hold_lease() {
+    for pre_vote in [true, false] {
+        let mut core = replica();
+        assert!(!is_granted(&deliver(
+            &mut core,
+            299,
+            3,
+            vote_request(4, pre_vote)
+        )));
+        let heartbeat = AppendRequest {
+            term: 3,
+            leader_id: 2,
+            receiver_disk_id: disk(1),
+            ..AppendRequest::default()
+        };
+        deliver(&mut core, 290, 2, PeerMessage::Append(heartbeat));
+        assert!(!is_granted(&deliver(
+            &mut core,
+            589,
+            3,
+            vote_request(4, pre_vote)
+        )));
+        assert_eq!(core.term(), 3);
+        assert!(is_granted(&deliver(
+            &mut core,
+            590,
+            3,
+            vote_request(4, pre_vote)
+        )));
+    }
+}
+
+/// Guards against a leader that goes on alone after it lost its quorum.
+#[test]
+fn leader_without_quorum_steps_down() {
+    let mut core = leader();
+    let token = 9;
+    let command = expire(9);
+    core.step(at(710), ReplicaEvent::Propose { token, command })
+        .unwrap();
+    tick(&mut core, 1_300);
+    assert_eq!(core.role(), ReplicaRole::Leader);
+    let actions = core.step(at(1_301), ReplicaEvent::Tick).unwrap();
+    assert_eq!(core.role(), ReplicaRole::Follower);
+    assert!(actions.contains(&ReplicaAction::Drop { token }));
+}
+
+fn join(core: &mut ReplicaCore, now: u64, replica: ReplicaInfo) -> JoinReply {
+    let from = replica.replica_id as u8;
+    let request = JoinRequest {
+        replica: Some(replica),
+    };
+    let messages = deliver(core, now, from, PeerMessage::Join(request));
+    match &messages[..] {
+        [PeerMessage::JoinReply(reply)] => reply.clone(),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn replacement(id: u8) -> ReplicaInfo {
+    ReplicaInfo {
+        disk_id: disk(id + 100),
+        ..info(id)
+    }
+}
+
+/// Guards against two membership changes in flight, against one before the leader has committed an
+/// entry of its term, and against a place that is taken from a replica that still answers.
+#[test]
+fn join_changes_membership_one_at_a_time() {
+    let mut core = leader();
+    assert!(!join(&mut core, 710, replacement(3)).accepted);
+    accept(&mut core, 720, 2, 3, 1);
+    assert!(!join(&mut core, 730, replacement(2)).accepted, "2 answers");
+    assert!(join(&mut core, 740, replacement(3)).accepted);
+    assert_eq!(core.membership().learners, [replacement(3)]);
+    assert_eq!(core.membership().voters, membership().voters);
+    assert!(!join(&mut core, 750, info(4)).accepted, "not committed yet");
+    core.flush(at(760)).unwrap();
+    accept(&mut core, 770, 2, 4, 4);
+    assert!(join(&mut core, 780, info(4)).accepted);
+}
+
+/// Guards against a learner that replaces its former disk before it holds the committed entries, and
+/// against answers of that former disk that count afterwards.
+#[test]
+fn learner_is_promoted_once_caught_up() {
+    let mut core = leader();
+    accept(&mut core, 720, 2, 3, 1);
+    join(&mut core, 740, replacement(3));
+    core.flush(at(740)).unwrap();
+    accept(&mut core, 750, 2, 4, 4);
+    assert_eq!(core.commit_index(), 4);
+    let heartbeats = tick(&mut core, 800);
+    let sequence = sequence_to(&heartbeats, 103);
+    accept(&mut core, 810, 103, 2, sequence);
+    assert_eq!(core.membership().learners, [replacement(3)]);
+    let heartbeats = tick(&mut core, 900);
+    let sequence = sequence_to(&heartbeats, 103);
+    accept(&mut core, 910, 103, 4, sequence);
+    let expected = [info(1), info(2), replacement(3)];
+    assert_eq!(core.membership().voters, expected);
+    assert_eq!(core.membership().learners, []);
+    accept(&mut core, 920, 3, 5, sequence);
+    assert_eq!(core.commit_index(), 4, "the former disk does not count");
+    accept(&mut core, 930, 103, 5, sequence);
+    assert_eq!(core.commit_index(), 5);
+}
--- a/tests/simulation/faults.rs
+++ b/tests/simulation/faults.rs
@@ -18,7 +18,8 @@
 #[derive(Debug)]
 pub struct FaultPlan {
     crash: f64,
-    leader_crash: f64,
+    leader_loss: f64,
+    power_loss: f64,
     wipe: f64,
     partition: f64,
     has_early_wipe: bool,
@@ -30,7 +31,8 @@
     pub fn draw(rng: &mut SmallRng) -> Self {
         Self {
             crash: rng.random_range(0.0..0.5),
-            leader_crash: rng.random_range(0.0..0.6),
+            leader_loss: rng.random_range(0.0..0.7),
+            power_loss: rng.random_range(0.0..0.15),
             wipe: rng.random_range(0.0..0.6),
             partition: rng.random_range(0.0..0.8),
             has_early_wipe: false,
@@ -57,6 +59,9 @@
             let id = self.any_victim();
             self.crash(id);
         }
+        if self.rng.random_bool(self.faults.power_loss) {
+            self.lose_power();
+        }
         if self.rng.random_bool(self.faults.wipe) {
             let id = self.any_victim();
             self.wipe_with_second_loss(id);
@@ -99,17 +104,29 @@
         }
     }
 
-    /// Often crashes a new leader while only some replicas hold its first entries.
+    /// Often crashes or silences a new leader while only some replicas hold its first entries.
     pub(super) fn threaten_leader(&mut self, id: u64) {
-        if self.faults.is_ended || !self.rng.random_bool(self.faults.leader_crash) {
+        if self.faults.is_ended || !self.rng.random_bool(self.faults.leader_loss) {
+            return;
+        }
+        if self.rng.random_bool(0.3) {
+            let peers = 1..=self.replicas.len() as u64;
+            self.blocked.extend(peers.map(|peer| (id, peer)));
             return;
         }
         let delay = self.rng.random_range(0..MAX_REIGN);
         self.schedule(delay, SimulatedEvent::Crash(id));
     }
 
+    /// Crashes all replicas at once, so that only what was synced remains.
+    fn lose_power(&mut self) {
+        for id in 1..=self.replicas.len() as u64 {
+            self.crash(id);
+        }
+    }
+
     pub(super) fn crash(&mut self, id: u64) {
-        let surviving_appends = self.rng.random_range(0..4);
+        let surviving_appends = self.rng.random_range(0..3);
         let is_short = self.rng.random_bool(0.3);
         let longest = if is_short {
             SHORT_DOWNTIME
--- a/tests/simulation/replica.rs
+++ b/tests/simulation/replica.rs
@@ -46,7 +46,8 @@
     pub fn new(id: u64, size: u64, rng: &mut SmallRng) -> Self {
         let settings = ReplicaSettings {
             snapshot_entries: rng.random_range(5..60),
-            max_append_bytes: rng.random_range(20..600),
+            // Half of the replicas send one entry at a time.
+            max_append_bytes: if rng.random_bool(0.5) { 1 } else { 600 },
             snapshot_chunk_bytes: rng.random_range(16..200),
             max_in_flight_appends: rng.random_range(2..8),
             bootstrap: true,
