Refuse appends whose entries do not follow each other

The core reports such entries as damage to its log and the replica stops, although its disk is fine. Any holder of the mesh token could send them. The service now answers INVALID_ARGUMENT; serve_garbage sends one to each replica.

--- a/src/control_server/replication.rs
+++ b/src/control_server/replication.rs
@@ -50,6 +50,11 @@
         request: Request<AppendRequest>,
     ) -> Result<Response<AppendReply>, Status> {
         let request = request.into_inner();
+        if !is_consistent(&request) {
+            return Err(Status::invalid_argument(
+                "the entries do not follow each other",
+            ));
+        }
         let from = request.leader_id;
         match self.exchange(from, PeerMessage::Append(request)).await? {
             PeerMessage::AppendReply(reply) => Ok(Response::new(reply)),
@@ -82,6 +87,18 @@
     }
 }
 
+/// Returns whether the entries are consecutive and not from a later term. The core treats other entries as damage to its
+/// log, which would stop the replica.
+fn is_consistent(request: &AppendRequest) -> bool {
+    let next_index = request.previous_index.checked_add(1);
+    let mut expected = next_index.into_iter().flat_map(|first| first..);
+    request.entries.iter().all(|entry| {
+        expected.next() == Some(entry.index)
+            && entry.term <= request.term
+            && entry.command.is_some()
+    })
+}
+
 fn mismatch() -> Status {
     Status::internal("the reply does not belong to the message")
 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -16,12 +16,14 @@
 use bytes::Bytes;
 use ebonyjunction::config::MeshToken;
 use ebonyjunction::control_client::ControlClient;
+use ebonyjunction::generated::replication_client::ReplicationClient;
 use ebonyjunction::generated::{
-    ClaimDecision, ClaimKey, ClaimOutcome, ClaimRequest, HeartbeatRequest, NodeInfo, SettleRequest,
+    AppendRequest, ClaimDecision, ClaimKey, ClaimOutcome, ClaimRequest, HeartbeatRequest, LogEntry,
+    NodeInfo, SettleRequest,
 };
 use ebonyjunction::types::{AttemptId, IdempotencyKey, NodeId};
 
-use control_cluster::{ControlCluster, ReplicaProcess, change, poll, token};
+use control_cluster::{ControlCluster, ReplicaProcess, TOKEN, change, poll, token};
 
 fn heartbeat(node_id: NodeId) -> HeartbeatRequest {
     HeartbeatRequest {
@@ -318,6 +320,9 @@
     malformed.node.as_mut().unwrap().node_id = Bytes::from_static(b"short");
     assert!(client.heartbeat(malformed).await.is_err());
     assert!(client.apply_plans(change("", 0, 1)).await.is_err());
+    for replica in &cluster.replicas {
+        send_broken_append(replica).await;
+    }
     assert!(cluster.apply("still-there", 0, 1).await.accepted);
     let connect = |replica: &ReplicaProcess| TcpStream::connect(replica.direct.unwrap()).unwrap();
     let _idle: Vec<_> = cluster.replicas.iter().map(connect).collect();
@@ -327,6 +332,22 @@
     }
 }
 
+async fn send_broken_append(replica: &ReplicaProcess) {
+    let address = format!("http://{}", replica.direct.unwrap());
+    let mut peer = ReplicationClient::connect(address).await.unwrap();
+    let mut request = tonic::Request::new(AppendRequest {
+        term: 1_000,
+        leader_id: 2,
+        previous_index: 1,
+        entries: vec![LogEntry::default()],
+        ..AppendRequest::default()
+    });
+    let metadata = request.metadata_mut();
+    metadata.insert("ebj-mesh-token", TOKEN.parse().unwrap());
+    let status = peer.append(request).await.unwrap_err();
+    assert_eq!(status.code(), tonic::Code::InvalidArgument);
+}
+
 // Guards against a key that is granted twice, at the leader or through followers, and over slow links.
 #[tokio::test(flavor = "multi_thread")]
 async fn claim_once_over_slow_links() {
