--- a/tests/support/fault_proxy.rs
+++ b/tests/support/fault_proxy.rs
@@ -1,7 +1,8 @@
 //! TCP proxy that holds back, delays or refuses traffic without closing connections.
 
 use std::collections::BTreeSet;
-use std::io::{Read, Write};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -84,7 +85,7 @@
     let Ok(server) = TcpStream::connect(target) else {
         return;
     };
-    let Some(socket) = find_socket(client) else {
+    let Ok(peer) = client.peer_addr() else {
         return;
     };
     for (from, to, direction) in [
@@ -95,8 +96,7 @@
             return;
         };
         let state = Arc::clone(state);
-        let socket = socket.clone();
-        thread::spawn(move || copy(from, to, direction, &socket, &state));
+        thread::spawn(move || copy(from, to, direction, SenderSocket::new(peer), &state));
     }
 }
 
@@ -104,7 +104,7 @@
     mut from: TcpStream,
     mut to: TcpStream,
     direction: Direction,
-    socket: &str,
+    mut sender: SenderSocket,
     state: &Mutex<ProxyState>,
 ) {
     let _ = (
@@ -127,10 +127,7 @@
             }
             let is_held = faults.is_cut
                 || (faults.holds_answers && direction == Direction::Answer)
-                || faults
-                    .cut_processes
-                    .iter()
-                    .any(|it| holds_socket(*it, socket));
+                || sender.is_held_by(&faults.cut_processes);
             if length == 0 || !is_held {
                 thread::sleep(if length == 0 {
                     Duration::ZERO
@@ -148,9 +145,32 @@
     let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
 }
 
-/// Finds the sender's end of a loopback connection, so that faults can depend on the process that holds it.
-fn find_socket(client: &TcpStream) -> Option<String> {
-    let peer = client.peer_addr().ok()?;
+/// Sender's end of a loopback connection, so that faults can depend on the process that holds it.
+#[derive(Debug)]
+struct SenderSocket {
+    peer: SocketAddr,
+    link: Option<String>,
+}
+
+impl SenderSocket {
+    fn new(peer: SocketAddr) -> Self {
+        Self { peer, link: None }
+    }
+
+    /// Looks the socket up only when a fault names processes: the socket table of a busy machine has many rows.
+    fn is_held_by(&mut self, processes: &BTreeSet<u32>) -> bool {
+        if processes.is_empty() {
+            return false;
+        }
+        if self.link.is_none() {
+            self.link = find_socket(self.peer);
+        }
+        let link = self.link.as_deref();
+        link.is_some_and(|link| processes.iter().any(|it| holds_socket(*it, link)))
+    }
+}
+
+fn find_socket(peer: SocketAddr) -> Option<String> {
     // The socket table is not read at one moment and may lack a row, so it is read again if needed.
     (0..LOOKUPS).find_map(|_| {
         let socket = socket_of(peer);
@@ -173,10 +193,8 @@
 
 fn socket_of(peer: SocketAddr) -> Option<String> {
     let local = format!("0100007F:{:04X}", peer.port());
-    let sockets = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    let mut rows = sockets
-        .lines()
-        .map(|line| line.split_whitespace().collect::<Vec<_>>());
-    let row = rows.find(|row| row.get(1) == Some(&local.as_str()))?;
-    Some(format!("socket:[{}]", row.get(9)?))
+    let sockets = File::open("/proc/net/tcp").ok()?;
+    let mut lines = BufReader::new(sockets).lines().map_while(Result::ok);
+    let row = lines.find(|line| line.split_whitespace().nth(1) == Some(&local))?;
+    Some(format!("socket:[{}]", row.split_whitespace().nth(9)?))
 }
