Answer explain with a list of lines, and let claimed chains end

Cause: the operator command reads a JSON list and 404, the node sent an object; a caller that went away cancelled the child calls of a payment that was already handed over. Conclusion: claimed work that was handed over ends as a whole; an attempt with newer plans causes an early heartbeat; calls of services count against the rate of their own plan.

--- a/benches/added_latency.rs
+++ b/benches/added_latency.rs
@@ -56,7 +56,7 @@
         through
             .add(run_calls(&client, mesh.entry.entry, ROUND).await)
             .unwrap();
-        cpu += node_cpu(&mesh) - before;
+        cpu += node_cpu(&mesh).saturating_sub(before);
     }
     for (name, quantile) in [("added_p50_ms", 0.5), ("added_p99_ms", 0.99)] {
         let added =
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -50,7 +50,7 @@
         sleep(MIN_PAUSE).await;
         let demand = async {
             sleep(DEMAND_PAUSE).await;
-            state.rate_wanted.notified().await;
+            state.early_beat.notified().await;
         };
         tokio::select! {
             () = sleep(next_period(&state)) => {}
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -75,8 +75,8 @@
     lifecycle: Mutex<LifecycleMachine>,
     /// Wakes the heartbeat loop when the directory must learn of a change.
     pub(crate) announced: Notify,
-    /// Wakes the heartbeat loop when a caller has no share of its rate here.
-    pub(crate) rate_wanted: Notify,
+    /// Wakes the heartbeat loop when a caller has no share of its rate here, or when other nodes hold newer plans.
+    pub(crate) early_beat: Notify,
     /// Wakes requests that wait for a share.
     pub(crate) rate_granted: Notify,
     rate_waiters: AtomicUsize,
@@ -131,7 +131,7 @@
             rng: Mutex::new(SmallRng::seed_from_u64(seed_from(node_id))),
             lifecycle: Mutex::new(LifecycleMachine::new()),
             announced: Notify::new(),
-            rate_wanted: Notify::new(),
+            early_beat: Notify::new(),
             rate_granted: Notify::new(),
             rate_waiters: AtomicUsize::new(0),
             closing: CancellationToken::new(),
@@ -194,7 +194,7 @@
             Ok(()) => return Ok(()),
             Err(wait) => wait,
         };
-        self.rate_wanted.notify_one();
+        self.early_beat.notify_one();
         if lock(&self.shares).held_rate(self.now(), &caller.name) > 0 {
             return Err(wait);
         }
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -238,7 +238,8 @@
     }
 }
 
-async fn take_rate(
+/// Takes a token of the caller's rate.
+pub(crate) async fn take_rate(
     state: &Arc<NodeState>,
     caller: &CallerEntry,
     plan: &PlanEntry,
--- a/src/proxy/hand_over.rs
+++ b/src/proxy/hand_over.rs
@@ -11,7 +11,7 @@
 use crate::generated::ClaimOutcome;
 use crate::node::{AnswerScope, KeptAnswer, NodeState, lock};
 use crate::routing::LoadReport;
-use crate::types::{AttemptContext, AttemptOutcome, RefusalReason};
+use crate::types::{AttemptContext, AttemptId, AttemptOutcome, RefusalReason};
 
 use super::attempts::AttemptGuard;
 use super::body::{ProxyBody, ReadBody, StreamWatcher, StreamedBody, whole_body};
@@ -100,16 +100,36 @@
         return run_plain(attempt).await;
     };
     // Goes on if the sender goes away, so that a claim is always settled.
-    let sender = token.drop_guard();
+    let mut sender = SenderGuard {
+        state: Arc::clone(state),
+        attempt_id: context.attempt_id,
+        is_waiting: true,
+    };
     let task = state.tasks.spawn(run_claimed(attempt, scope));
     let answer = task.await;
-    sender.disarm();
+    sender.is_waiting = false;
     answer.unwrap_or_else(|error| {
         let detail = format!("the attempt broke off: {error}");
         Err(Refusal::unknown(RefusalReason::AnswerLost, detail))
     })
 }
 
+// Sender that waits for the end of claimed work; if it goes away, the work is cancelled unless it was handed over.
+#[derive(Debug)]
+struct SenderGuard {
+    state: Arc<NodeState>,
+    attempt_id: AttemptId,
+    is_waiting: bool,
+}
+
+impl Drop for SenderGuard {
+    fn drop(&mut self) {
+        if self.is_waiting {
+            lock(&self.state.attempts).cancel(self.attempt_id, Duration::MAX);
+        }
+    }
+}
+
 fn check_grant(
     state: &NodeState,
     context: &AttemptContext,
--- a/src/proxy/local.rs
+++ b/src/proxy/local.rs
@@ -20,7 +20,7 @@
 use super::answer::json_response;
 use super::attempts::{ParentCall, SharedAllowance};
 use super::body::ProxyBody;
-use super::entry::{claim_key, entry_timeout, find_grant, outside_response};
+use super::entry::{claim_key, entry_timeout, find_grant, outside_response, take_rate};
 use super::hand_over::plan_stale;
 use super::headers::{ATTEMPT_ID, optional};
 use super::hop::{ServiceCall, forward};
@@ -119,6 +119,8 @@
         let detail = "this node is stopping";
         return Err(Refusal::not_run(RefusalReason::TargetLeaving, detail));
     }
+    let plan = book.plan_of(caller).ok_or_else(plan_stale)?;
+    take_rate(state, caller, plan).await?;
     let time_left = context.deadline.saturating_since(state.now());
     let outbound = OutboundCall::receive(state, request, path, time_left).await?;
     let (allowance, token) = match parent {
--- a/src/proxy/mesh.rs
+++ b/src/proxy/mesh.rs
@@ -16,8 +16,8 @@
 use super::cancel::ATTEMPTS_PATH;
 use super::hand_over::{load_report, serve};
 use super::headers::{
-    AGE_MS, ATTEMPT_ID, CallPlace, MESH_TOKEN, NODE_ID, REQUEST_ID, decode_context, encode_report,
-    number, required, set, set_outcome,
+    AGE_MS, ATTEMPT_ID, CallPlace, MESH_TOKEN, NODE_ID, PLAN_VERSION, REQUEST_ID, decode_context,
+    encode_report, number, required, set, set_outcome,
 };
 use super::inbound::OutboundCall;
 use super::{AnswerReport, HopAnswer, Refusal, ServicePath};
@@ -37,7 +37,7 @@
         state.count_refusal(RefusalReason::BadMeshToken);
         let detail = "the mesh token is missing or wrong";
         let refusal = Refusal::not_run(RefusalReason::BadMeshToken, detail);
-        return mesh_response(refusal.into_answer(id, 0), None, id);
+        return mesh_response(refusal.into_answer(id, 0), attempt_id.ok(), id);
     }
     let path = request.uri().path();
     if let Some(raw) = path.strip_prefix(ATTEMPTS_PATH) {
@@ -89,6 +89,7 @@
         service: path.service.clone(),
         endpoint: path.endpoint.clone(),
     };
+    note_plan_version(state, request.headers());
     let now = state.now();
     let context = decode_context(request.headers(), place, now).map_err(bad_request)?;
     let time_left = context.deadline.saturating_since(now);
@@ -98,6 +99,14 @@
     }
 }
 
+// A sender with newer plans shows that a heartbeat is worthwhile.
+fn note_plan_version(state: &NodeState, headers: &HeaderMap) {
+    let version: u64 = number(headers, PLAN_VERSION).unwrap_or(0);
+    if version > lock(&state.plans).version() {
+        state.early_beat.notify_one();
+    }
+}
+
 fn mesh_response(
     answer: HopAnswer,
     attempt_id: Option<AttemptId>,
@@ -182,9 +191,13 @@
         return refusal.into_response(request_id);
     };
     let decisions = state.decisions.explain(asked);
-    let body = serde_json::json!({
-        "node": state.node_id.to_string(),
-        "decisions": decisions,
-    });
-    json_response(StatusCode::OK, body.to_string().into_bytes())
+    let status = if decisions.is_empty() {
+        StatusCode::NOT_FOUND
+    } else {
+        StatusCode::OK
+    };
+    json_response(
+        status,
+        serde_json::json!(decisions).to_string().into_bytes(),
+    )
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -11,7 +11,7 @@
 use support::http::{behave, call, counts, get, post};
 use support::mesh::{Mesh, RESELLER, mesh_headers, wait_count};
 use support::poll;
-use support::process::MESH_TOKEN;
+use support::process::{MESH_TOKEN, NodeProcess, StandIn};
 use support::registry::ClaimMode;
 
 // Guards against a path of a request that loses its answer, its id or its outcome on the way.
@@ -318,3 +318,93 @@
     }
     assert_eq!(counts(mesh.target.address).await["started"], before);
 }
+
+// Guards against an at-most-once chain that is half cancelled when its caller goes away.
+#[tokio::test]
+async fn payment_chain_outlives_its_caller() {
+    let mesh = Mesh::start("", &[]).await;
+    let (_node, stock) = mesh.add_stock().await;
+    behave(stock.address, &json!({"service_ms": 500})).await;
+    let key = uuid::Uuid::now_v7().to_string();
+    let headers = [RESELLER, ("idempotency-key", key.as_str())];
+    tokio::select! {
+        _ = post(mesh.entry.entry, "/orders/pay", &headers) => panic!("the payment must not end"),
+        () = wait_count(&stock, "in_flight", 1) => {}
+    }
+    let answer = poll("the kept answer", async || {
+        let answer = post(mesh.entry.entry, "/orders/pay", &headers).await;
+        (answer.verdict() == "200 ran").then_some(answer)
+    })
+    .await;
+    assert_eq!(answer.json()["calls"][0]["outcome"], "ran");
+    assert_eq!(counts(stock.address).await["cancelled"], 0);
+    assert_eq!(counts(mesh.target.address).await["keys"][&key], 1);
+}
+
+// Guards against a retry that goes to the node that just failed, or that is not made although nothing ran.
+#[tokio::test]
+async fn retry_goes_to_another_target() {
+    let mesh = Mesh::start("", &[]).await;
+    let mut second = NodeProcess::start(mesh.registry.address, "").await;
+    let other = StandIn::start("orders", &second, &[]).await;
+    mesh.wait_ready(&second).await;
+    poll("work at the second target", async || {
+        get(mesh.entry.entry, "/orders/a", &[RESELLER]).await;
+        (counts(other.address).await["started"].as_u64()? > 3).then_some(())
+    })
+    .await;
+    second.process.signal("KILL");
+    second.process.wait().await;
+    poll("a retry", async || {
+        let answer = get(mesh.entry.entry, "/orders/a", &[RESELLER]).await;
+        assert_eq!(answer.verdict(), "200 ran");
+        let parts = ["event=retry", "reason=target-down"];
+        mesh.entry.process.has_line(&parts).then_some(())
+    })
+    .await;
+}
+
+// Guards against lengths that are lost or sent twice where no body follows.
+#[tokio::test]
+async fn answers_without_body_pass() {
+    let mesh = Mesh::start("", &[]).await;
+    let path = "/orders/a?answer_bytes=5000";
+    let answer = call(mesh.entry.entry, Method::HEAD, path, &[RESELLER], "")
+        .await
+        .unwrap();
+    assert_eq!(answer.verdict(), "200 ran");
+    assert_eq!(answer.header("content-length"), "5000");
+    assert!(answer.body.is_empty());
+    for status in [204, 304] {
+        let path = format!("/orders/a?status={status}");
+        let answer = get(mesh.entry.entry, &path, &[RESELLER]).await;
+        assert_eq!(answer.verdict(), format!("{status} ran"));
+    }
+    let answer = get(mesh.entry.entry, "/orders/a?status=500", &[RESELLER]).await;
+    assert_eq!(answer.verdict(), "500 ran");
+}
+
+// Guards against decisions that cannot be explained, or that are shown to outside callers.
+#[tokio::test]
+async fn decisions_are_explained() {
+    let mesh = Mesh::start("", &[]).await;
+    let id = uuid::Uuid::new_v4().to_string();
+    let headers = [RESELLER, ("ebj-request-id", id.as_str())];
+    get(mesh.entry.entry, "/orders/a", &headers).await;
+    let path = format!("/ebonyjunction/v1/decisions/{id}");
+    let token = [("ebj-mesh-token", MESH_TOKEN)];
+    let mut lines: Vec<String> = Vec::new();
+    for node in [&mesh.entry, &mesh.node] {
+        assert_eq!(get(node.mesh, &path, &[]).await.status, 401);
+        let answer = get(node.mesh, &path, &token).await;
+        lines.extend(serde_json::from_slice::<Vec<String>>(&answer.body).unwrap_or_default());
+    }
+    for event in ["event=route ", "event=served ", "event=answered "] {
+        assert!(
+            lines.iter().any(|line| line.starts_with(event)),
+            "{event} {lines:?}"
+        );
+    }
+    let unknown = path.replace(&id, &uuid::Uuid::new_v4().to_string());
+    assert_eq!(get(mesh.node.mesh, &unknown, &token).await.status, 404);
+}
