--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -221,7 +221,11 @@
 impl Fleet {
     /// Starts replicas and endpoints, applies the lists and waits until all nodes serve.
     pub(crate) fn start(services: &[ServiceSpec], plans: &str, grants: &str) -> Self {
-        let folder = tempfile::tempdir().expect("temporary folder");
+        // FLEET_KEEP=1 keeps settings and logs for a look after the run.
+        let is_kept = std::env::var_os("FLEET_KEEP").is_some();
+        let mut builder = tempfile::Builder::new();
+        let folder = builder.prefix("fleet-").disable_cleanup(is_kept).tempdir();
+        let folder = folder.expect("temporary folder");
         let control = ControlFleet::start(folder.path(), 3);
         let operator_settings = folder.path().join("operator.toml");
         let text = format!(
@@ -318,20 +322,20 @@
             (text.matches("ready").count() >= count).then_some(())
         });
     }
+}
 
-    /// Sends one request through the call program and returns its output.
-    pub(crate) fn call(&self, entry: SocketAddr, arguments: &[&str]) -> String {
-        let output = Command::new(env!("CARGO_BIN_EXE_ebonyjunction-call"))
-            .args(["--entry", &entry.to_string()])
-            .args(arguments)
-            .output()
-            .expect("call runs");
-        format!(
-            "{}{}",
-            String::from_utf8_lossy(&output.stdout),
-            String::from_utf8_lossy(&output.stderr)
-        )
-    }
+/// Sends one request through the call program and returns its output.
+pub(crate) fn call(entry: SocketAddr, arguments: &[&str]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_ebonyjunction-call"))
+        .args(["--entry", &entry.to_string()])
+        .args(arguments)
+        .output()
+        .expect("call runs");
+    format!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    )
 }
 
 fn path_text(path: &Path) -> String {
