Report the attempts of a chain to the caller

Cause: attempts_per_request could not be measured from outside; the entry now answers with ebj-attempts, the attempts that the chain spent on one send. Ruled out: counting executions at the stand-ins, which misses attempts that were refused.

--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -19,7 +19,9 @@
 use super::body::ProxyBody;
 use super::entry_memory::EntryRequest;
 use super::hand_over::plan_stale;
-use super::headers::{IDEMPOTENCY_KEY, REQUEST_ID, TIMEOUT_MS, number, optional, set, set_outcome};
+use super::headers::{
+    ATTEMPTS, IDEMPOTENCY_KEY, REQUEST_ID, TIMEOUT_MS, number, optional, set, set_outcome,
+};
 use super::hop::{ServiceCall, forward};
 use super::inbound::OutboundCall;
 use super::{HopAnswer, Refusal, ServicePath};
@@ -116,7 +118,10 @@
 async fn send(state: &Arc<NodeState>, admitted: AdmittedRequest, may_have_run: bool) -> HopAnswer {
     let AdmittedRequest { call, mut entry } = admitted;
     let id = call.context.request_id;
+    let allowance = Arc::clone(&call.allowance);
+    let minted = lock(&allowance).remaining();
     let mut answer = forward(state, call).await;
+    let attempts = minted.saturating_sub(lock(&allowance).remaining());
     entry.set_outcome(answer.report.outcome);
     if may_have_run
         && answer.report.outcome == AttemptOutcome::NotRun
@@ -125,6 +130,11 @@
         let detail = "an earlier send of this request may have run";
         answer = Refusal::unknown(reason, detail).into_answer(id, answer.report.unspent);
     }
+    set(
+        answer.response.headers_mut(),
+        ATTEMPTS,
+        &attempts.to_string(),
+    );
     answer
 }
 
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -30,6 +30,8 @@
 
 pub(crate) const OUTCOME: &str = "ebj-outcome";
 pub(crate) const REASON: &str = "ebj-reason";
+/// Attempts that the whole chain spent on one send of a request; a lost answer counts its whole share.
+pub(crate) const ATTEMPTS: &str = "ebj-attempts";
 const UNSPENT: &str = "ebj-unspent";
 const LEVEL: &str = "ebj-level";
 const QUEUE_MS: &str = "ebj-queue-ms";
