--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -172,7 +172,7 @@
             return None;
         }
         // A probe of a lower class must not run while the level sheds a higher class.
-        let is_probe = rng.random_bool(self.settings.probe_share);
+        let is_probe = rng.random_bool(self.settings.probe_share.clamp(0.0, 1.0));
         if is_probe && priority.class() >= highest.class() {
             return None;
         }
