--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -17,6 +17,9 @@
 const CRITICAL_RECOVERY_CHANCE: f64 = 0.01;
 /// Time until a retry is worthwhile when no target can be chosen.
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
+/// Ratio of completion times below which the second random choice replaces the first. Without it
+/// all nodes would send to the one target that is a little faster.
+const CLEARLY_BETTER: f64 = 0.8;
 const MIN_LEVEL_RETRY_S: f64 = 0.25;
 const MAX_LEVEL_RETRY_S: f64 = 5.0;
 /// Refused callers are spread over plus or minus this part of the delay.
@@ -274,7 +277,7 @@
         (first.key, completion(first.key)),
         (second.key, completion(second.key)),
     );
-    if second.1.local_s < first.1.local_s {
+    if second.1.local_s < first.1.local_s * CLEARLY_BETTER {
         Some(second)
     } else {
         Some(first)
--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -4,8 +4,10 @@
 
 use crate::types::TickTime;
 
-/// Weight of a new sample in the latency average.
-const LATENCY_GAIN: f64 = 0.2;
+/// Weight of a new sample above the latency average.
+const RISE_GAIN: f64 = 0.5;
+/// Weight of a new sample below the latency average.
+const FALL_GAIN: f64 = 0.2;
 /// Weight of a new verdict in the failure average.
 const FAILURE_GAIN: f64 = 0.2;
 /// Failure average at which the expected completion time stops growing.
@@ -43,17 +45,14 @@
             sample.latency.as_secs_f64()
         };
         let fade = decay(now - self.measured_at, half_life);
-        let previous = self.latency_s * fade;
-        // A rise counts more than a fall, so that a stalled target is noticed by one answer.
-        let gain = if latency_s > previous {
-            0.5
-        } else {
-            LATENCY_GAIN
-        };
+        // A rise counts more than a fall, so that a stalled target is noticed by one answer; the
+        // older the average is, the less it counts.
+        let is_rise = latency_s > self.latency_s;
+        let gain = if is_rise { RISE_GAIN } else { FALL_GAIN };
         self.latency_s = if self.latency_s == 0.0 {
             latency_s
         } else {
-            previous + gain * (latency_s - previous)
+            self.latency_s + gain.max(1.0 - fade) * (latency_s - self.latency_s)
         };
         let verdict = f64::from(u8::from(sample.is_failure));
         self.failure = self.failure * fade + FAILURE_GAIN * (verdict - self.failure * fade);
@@ -74,12 +73,16 @@
     }
 
     /// Returns the expected time of one request in seconds, without path cost.
-    pub(super) fn service_time(&self, now: TickTime, half_life: Duration, first_s: f64) -> f64 {
+    ///
+    /// A latency above the typical one of the service fades towards it, so that a target that was
+    /// slow is tried again; it does not fade further, or unused targets would look the fastest.
+    pub(super) fn service_time(&self, now: TickTime, half_life: Duration, typical_s: f64) -> f64 {
         if self.latency_s == 0.0 {
-            return first_s;
+            return typical_s;
         }
         let fade = decay(now - self.measured_at, half_life);
-        let latency = self.latency_s * fade;
+        let excess = (self.latency_s - typical_s).max(0.0);
+        let latency = self.latency_s - excess * (1.0 - fade);
         let failure = (self.failure * fade).min(MAX_FAILURE);
         latency / (1.0 - failure)
     }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -154,6 +154,11 @@
         answered(if index < 4 { FAST * 20 } else { FAST })
     });
     assert!(calls[4] + calls[5] > 1_000, "{calls:?}");
+    // A little faster, but not by as much as the way costs.
+    let recovered = |index| answered(if index < 2 { FAST } else { FAST.mul_f64(1.1) });
+    world.run(3_000, recovered);
+    let calls = world.run(500, recovered);
+    assert!(calls[0] + calls[1] > 490, "{calls:?}");
 }
 
 // Guards against a cold target that gets a full share at once.
@@ -197,6 +202,41 @@
     assert!(calls[2] > 60, "{calls:?}");
 }
 
+// Guards against a slow target that looks better than busy fast ones, and against holding back so
+// many slow targets that the others are overloaded.
+#[test]
+fn choose_slow_target() {
+    for (slow, expects_calls) in [(1, false), (3, true)] {
+        let mut world = RoutingWorld::near(6);
+        world.run_healthy(300);
+        let ids = (0..6).map(|index| record(index, "east-1", "east").node_id);
+        let keys = ids.filter_map(|node_id| world.table.key_of(node_id));
+        let keys = keys.collect::<Vec<_>>();
+        for _ in 0..3 {
+            for key in &keys {
+                let is_slow = keys[..slow].contains(key);
+                for _ in 0..if is_slow { 1 } else { 20 } {
+                    let latency = if is_slow { FAST * 10 } else { FAST };
+                    let (latency, result, report) = answered(latency);
+                    world.table.start(*key);
+                    world
+                        .table
+                        .record(world.now, *key, "/list", latency, result, &report);
+                }
+            }
+        }
+        for key in &keys[slow..] {
+            (0..20).for_each(|_| world.table.start(*key));
+        }
+        let decisions = (0..200).map(|_| world.choose(&[]));
+        let to_slow = decisions.filter(|decision| match decision {
+            RouteDecision::Send(choice) => keys[..slow].contains(&choice.key),
+            RouteDecision::Refuse { .. } => panic!("refused"),
+        });
+        assert_eq!(to_slow.count() > 0, expects_calls, "{slow} slow targets");
+    }
+}
+
 // Guards against work sent to a leaving target, also when a late announcement says it is ready.
 #[test]
 fn choose_leaving_target() {
@@ -213,7 +253,9 @@
         };
         (FAST, result, report)
     };
-    assert_eq!(world.run(300, leaving)[1], 1);
+    assert_eq!(RoutingWorld::near(3).run(2_000, leaving)[1], 1);
+    // A stale announcement is corrected by the directory within the hold of five seconds.
+    assert_eq!(world.run(100, leaving)[1], 1);
     let stale = vec![record(1, "east-1", "east")];
     world.table.apply_update(world.now, changed(stale.clone()));
     assert_eq!(world.run_healthy(300)[1], 0);
