--- /dev/null
+++ b/src/admission/service_time.rs
@@ -0,0 +1,105 @@
+//! Service times measured at the node.
+
+use std::time::Duration;
+
+use crate::types::{PriorityClass, TickTime};
+
+/// Weight of a new sample in the short-term mean: about the last ten samples count, so that a target that slows down
+/// is noticed within a fraction of its requests in flight.
+const SHORT_WEIGHT: f64 = 0.1;
+/// A class without samples loses half of its expected time in this time. Without this, a class whose deadline is
+/// shorter than one slow period would be refused for ever, because refused work yields no samples.
+const FADE_HALF_LIFE_S: f64 = 1.0;
+/// Time constant of the long-term mean.
+const LONG_TIME_S: f64 = 120.0;
+/// Samples of a class whose plain mean is the first long-term mean. More would let the mean of a young process follow
+/// a slowdown while its causes are being tried.
+const FIRST_SAMPLES: u32 = 50;
+/// Shorter samples count as this long.
+const LEAST_SAMPLE: Duration = Duration::from_micros(1);
+
+#[derive(Debug, Clone, Copy, Default)]
+struct ClassTimes {
+    short_s: f64,
+    long_log: f64,
+    samples: u32,
+    last_sample: TickTime,
+}
+
+impl ClassTimes {
+    fn distance(&self, sample_log: f64) -> f64 {
+        if self.samples == 0 {
+            return 0.0;
+        }
+        sample_log - self.long_log
+    }
+
+    /// Moves the long-term mean of logarithms and returns the distance of the sample from it.
+    fn record_long(&mut self, sample_log: f64, elapsed_s: f64) -> f64 {
+        let distance = self.distance(sample_log);
+        self.samples = self.samples.saturating_add(1);
+        let weight = if self.samples <= FIRST_SAMPLES {
+            1.0 / f64::from(self.samples)
+        } else {
+            (elapsed_s / LONG_TIME_S).min(1.0)
+        };
+        self.long_log += (sample_log - self.long_log) * weight;
+        distance
+    }
+}
+
+/// Short-term and long-term means of service time for each class.
+#[derive(Debug, Default)]
+pub(super) struct ServiceTimes {
+    classes: [ClassTimes; PriorityClass::ALL.len()],
+    overall_s: f64,
+    last_sample: TickTime,
+}
+
+impl ServiceTimes {
+    /// Adds a sample and returns the logarithm of its ratio to the long-term mean of its class before the sample.
+    pub(super) fn record(
+        &mut self,
+        now: TickTime,
+        class: PriorityClass,
+        service_time: Duration,
+    ) -> f64 {
+        let seconds = service_time.max(LEAST_SAMPLE).as_secs_f64();
+        self.overall_s = blend(self.overall_s, seconds, SHORT_WEIGHT);
+        self.last_sample = now;
+        let times = &mut self.classes[class.index()];
+        let elapsed_s = (now - times.last_sample).as_secs_f64();
+        times.short_s = blend(times.short_s, seconds, SHORT_WEIGHT);
+        times.last_sample = now;
+        times.record_long(seconds.ln(), elapsed_s)
+    }
+
+    /// Returns the logarithm of the ratio of a service time to the long-term mean of its class.
+    pub(super) fn log_ratio(&self, class: PriorityClass, service_time: Duration) -> f64 {
+        let seconds = service_time.max(LEAST_SAMPLE).as_secs_f64();
+        self.classes[class.index()].distance(seconds.ln())
+    }
+
+    /// Returns the expected service time of a class, zero if unknown.
+    pub(super) fn expected(&self, now: TickTime, class: PriorityClass) -> Duration {
+        let times = &self.classes[class.index()];
+        Duration::from_secs_f64(faded(now, times.last_sample, times.short_s))
+    }
+
+    /// Returns the expected service time over all classes, zero if unknown.
+    pub(super) fn expected_overall(&self, now: TickTime) -> Duration {
+        Duration::from_secs_f64(faded(now, self.last_sample, self.overall_s))
+    }
+}
+
+fn blend(mean: f64, sample: f64, weight: f64) -> f64 {
+    if mean == 0.0 {
+        return sample;
+    }
+    mean + (sample - mean) * weight
+}
+
+fn faded(now: TickTime, last_sample: TickTime, mean_s: f64) -> f64 {
+    let idle_s = (now - last_sample).as_secs_f64();
+    mean_s * 0.5_f64.powf((idle_s / FADE_HALF_LIFE_S).floor())
+}
--- /dev/null
+++ b/tests/simulation/faults.rs
@@ -0,0 +1,236 @@
+//! Crashes, wiped disks and partitions.
+
+use ebonyjunction::consensus::ReplicaRole;
+use ebonyjunction::storage::LogStore;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+
+use super::oracle::{Check, memberships};
+use super::{Micros, SimulatedDisk, SimulatedEvent, Simulation};
+
+const MAX_PAUSE: Micros = 400_000;
+const MAX_DOWNTIME: Micros = 1_200_000;
+const SHORT_DOWNTIME: Micros = 50_000;
+const MAX_REIGN: Micros = 250_000;
+
+/// How often each kind of fault happens, drawn once per seed.
+#[derive(Debug)]
+pub struct FaultPlan {
+    crash: f64,
+    leader_loss: f64,
+    power_loss: f64,
+    wipe: f64,
+    partition: f64,
+    has_early_wipe: bool,
+    pub is_ended: bool,
+    pub last_committed_at_end: u64,
+}
+
+impl FaultPlan {
+    pub fn draw(rng: &mut SmallRng) -> Self {
+        Self {
+            crash: rng.random_range(0.0..0.5),
+            leader_loss: rng.random_range(0.0..0.7),
+            power_loss: rng.random_range(0.0..0.15),
+            wipe: rng.random_range(0.0..0.6),
+            partition: rng.random_range(0.0..0.8),
+            has_early_wipe: false,
+            is_ended: false,
+            last_committed_at_end: 0,
+        }
+    }
+}
+
+impl Simulation {
+    pub(super) fn inject_fault(&mut self) {
+        if self.faults.is_ended {
+            return;
+        }
+        let pause = self.rng.random_range(10_000..MAX_PAUSE);
+        self.schedule(pause, SimulatedEvent::Fault);
+        if self.rng.random_bool(0.4) {
+            self.blocked.clear();
+        }
+        if self.rng.random_bool(self.faults.partition) {
+            self.start_partition();
+        }
+        if self.rng.random_bool(self.faults.crash) {
+            let id = self.any_victim();
+            self.crash(id);
+        }
+        if self.rng.random_bool(self.faults.power_loss) {
+            self.lose_power();
+        }
+        if self.rng.random_bool(self.faults.wipe) {
+            let id = self.any_victim();
+            self.wipe_with_second_loss(id);
+        }
+    }
+
+    fn any_replica(&mut self) -> u64 {
+        self.rng.random_range(1..=self.replicas.len() as u64)
+    }
+
+    /// Returns a leader in half of the cases, since its faults matter most.
+    fn any_victim(&mut self) -> u64 {
+        let leader = self
+            .replicas
+            .iter()
+            .find(|(_, replica)| replica.role() == Some(ReplicaRole::Leader))
+            .map(|(id, _)| *id);
+        let is_leader_chosen = self.rng.random_bool(0.5);
+        let other = self.any_replica();
+        leader.filter(|_| is_leader_chosen).unwrap_or(other)
+    }
+
+    /// Silently blocks one direction or both, between two replicas or one and all others.
+    fn start_partition(&mut self) {
+        let id = self.any_victim();
+        let other = self.any_replica();
+        let is_pair = self.rng.random_bool(0.5);
+        let blocks_sending = self.rng.random_bool(0.7);
+        let blocks_receiving = self.rng.random_bool(0.7);
+        for peer in 1..=self.replicas.len() as u64 {
+            if is_pair && peer != other {
+                continue;
+            }
+            if blocks_sending {
+                self.blocked.insert((id, peer));
+            }
+            if blocks_receiving {
+                self.blocked.insert((peer, id));
+            }
+        }
+    }
+
+    /// Often crashes or silences a new leader while only some replicas hold its first entries.
+    pub(super) fn threaten_leader(&mut self, id: u64) {
+        if self.faults.is_ended || !self.rng.random_bool(self.faults.leader_loss) {
+            return;
+        }
+        if self.rng.random_bool(0.3) {
+            let peers = 1..=self.replicas.len() as u64;
+            self.blocked.extend(peers.map(|peer| (id, peer)));
+            return;
+        }
+        let delay = self.rng.random_range(0..MAX_REIGN);
+        self.schedule(delay, SimulatedEvent::Crash(id));
+    }
+
+    /// Crashes all replicas at once, so that only what was synced remains.
+    fn lose_power(&mut self) {
+        for id in 1..=self.replicas.len() as u64 {
+            self.crash(id);
+        }
+    }
+
+    pub(super) fn crash(&mut self, id: u64) {
+        let surviving_appends = self.rng.random_range(0..3);
+        let is_short = self.rng.random_bool(0.3);
+        let longest = if is_short {
+            SHORT_DOWNTIME
+        } else {
+            MAX_DOWNTIME
+        };
+        let downtime = self.rng.random_range(0..longest);
+        let Some(replica) = self.replicas.get_mut(&id) else {
+            return;
+        };
+        if replica.core.take().is_some() {
+            replica.disk.crash(surviving_appends);
+            self.schedule(downtime, SimulatedEvent::Restart(id));
+        }
+    }
+
+    /// Replaces a disk by an empty one, and often crashes another replica at the same moment.
+    fn wipe_with_second_loss(&mut self, id: u64) {
+        if !self.may_wipe(id) {
+            return;
+        }
+        self.crash(id);
+        let disk_id: [u8; 16] = self.rng.random();
+        if self.founded_replicas() > 0 {
+            self.oracle.wiped_disks.insert(disk_id.to_vec());
+        } else {
+            // The first configuration may list this disk as a voter.
+            self.faults.has_early_wipe = true;
+        }
+        if let Some(replica) = self.replicas.get_mut(&id) {
+            replica.disk = SimulatedDisk::new(disk_id);
+        }
+        if self.rng.random_bool(0.7) {
+            let others = self.replicas.keys().copied().filter(|other| *other != id);
+            if let Some(other) = others.choose(&mut self.rng) {
+                self.crash(other);
+            }
+        }
+    }
+
+    /// Returns the number of replicas whose log holds a membership.
+    fn founded_replicas(&self) -> usize {
+        let replicas = self.replicas.values();
+        replicas
+            .filter(|replica| !memberships(&replica.disk).is_empty())
+            .count()
+    }
+
+    /// Returns whether a majority of disks would survive in every membership in effect anywhere.
+    fn may_wipe(&self, id: u64) -> bool {
+        let remaining: Vec<Vec<u8>> = self
+            .replicas
+            .iter()
+            .filter(|(other, _)| **other != id)
+            .map(|(_, replica)| disk_id(&replica.disk))
+            .collect();
+        // The founder must not be lost before a majority holds the first configuration, and before
+        // that only a minority of the initial disks may be replaced.
+        let holders = self.founded_replicas();
+        if id == 1 && holders <= self.replicas.len() / 2 + 1 {
+            return false;
+        }
+        if holders == 0 && self.faults.has_early_wipe {
+            return false;
+        }
+        self.replicas.values().all(|replica| {
+            let all = memberships(&replica.disk);
+            let Some(latest) = all.last() else {
+                return true;
+            };
+            let surviving = latest
+                .voters
+                .iter()
+                .filter(|voter| remaining.contains(&voter.disk_id.to_vec()))
+                .count();
+            surviving > latest.voters.len() / 2
+        })
+    }
+
+    pub(super) fn restart(&mut self, id: u64) -> Check {
+        let seed = self.rng.random();
+        let now = self.now;
+        let Some(replica) = self.replicas.get_mut(&id) else {
+            return Ok(());
+        };
+        if replica.core.is_some() {
+            return Ok(());
+        }
+        replica.start(now, seed)?;
+        if !replica.is_ticking {
+            replica.is_ticking = true;
+            self.schedule(0, SimulatedEvent::Tick(id));
+        }
+        Ok(())
+    }
+
+    /// Heals the network; replicas that are down come back by their own restarts.
+    pub(super) fn end_faults(&mut self) {
+        self.faults.is_ended = true;
+        self.faults.last_committed_at_end = self.oracle.last_committed();
+        self.blocked.clear();
+    }
+}
+
+fn disk_id(disk: &SimulatedDisk) -> Vec<u8> {
+    disk.disk_id().to_vec()
+}
