--- a/tests/simulation/faults.rs
+++ b/tests/simulation/faults.rs
@@ -223,11 +223,14 @@
         Ok(())
     }
 
-    /// Heals the network; replicas that are down come back by their own restarts.
+    /// Heals the network, which still delays and reorders; replicas that are down come back by their own restarts.
     pub(super) fn end_faults(&mut self) {
         self.faults.is_ended = true;
         self.faults.last_committed_at_end = self.oracle.last_committed();
         self.blocked.clear();
+        self.network.loss = 0.0;
+        self.network.duplication = 0.0;
+        self.network.stragglers = 0.0;
     }
 }
 
