--- /dev/null
+++ b/src/admission/cohort.rs
@@ -0,0 +1,176 @@
+//! Measurement of work that started one after the other under one limit.
+
+use std::time::Duration;
+
+use crate::types::TickTime;
+
+use super::work::WorkResult;
+
+/// Work of a cohort that must have finished, in percent. Waiting for the slowest of all would delay the result for
+/// long.
+const NEEDED_PERCENT: u32 = 90;
+/// Weight of a cohort in the baseline when it is slower than the baseline.
+const RISE_WEIGHT: f64 = 0.05;
+/// Weight of a cohort in the baseline when it is faster; a target that recovers or warms up is believed sooner.
+const FALL_WEIGHT: f64 = 0.3;
+/// Samples that make a mean of service times meaningful.
+const MIN_SAMPLES: u32 = 32;
+
+/// Means over one cohort.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct CohortResult {
+    /// Mean logarithm of service time over its long-term mean, in which outliers weigh less than in a plain mean;
+    /// absent if too little work has a meaningful service time.
+    pub(super) log_ratio: Option<f64>,
+    pub(super) failure_share: f64,
+    /// Share of the work that took the last free slot.
+    pub(super) busy_share: f64,
+    /// Mean number in flight after a start.
+    pub(super) in_flight: f64,
+    /// Time from the first start to the result.
+    pub(super) duration: Duration,
+}
+
+impl CohortResult {
+    /// Returns this result with the larger of two service times.
+    pub(super) fn slower_of(&self, other: &Self) -> Self {
+        let is_slower = other.log_ratio > self.log_ratio;
+        Self {
+            log_ratio: if is_slower {
+                other.log_ratio
+            } else {
+                self.log_ratio
+            },
+            ..*self
+        }
+    }
+
+    /// Returns the baseline that follows from this one after a newer result.
+    pub(super) fn followed_by(&self, newer: &Self) -> Self {
+        let log_ratio = match (self.log_ratio, newer.log_ratio) {
+            (Some(old), Some(new)) => Some(follow_value(old, new)),
+            (old, new) => old.or(new),
+        };
+        Self {
+            log_ratio,
+            failure_share: follow_value(self.failure_share, newer.failure_share),
+            ..*newer
+        }
+    }
+}
+
+fn follow_value(baseline: f64, value: f64) -> f64 {
+    let weight = if value < baseline {
+        FALL_WEIGHT
+    } else {
+        RISE_WEIGHT
+    };
+    baseline + (value - baseline) * weight
+}
+
+/// Collects one cohort after another.
+///
+/// Membership is decided at the start. Taking the first work to finish instead would prefer short work and make
+/// every new limit look faster than the one before.
+#[derive(Debug)]
+pub(super) struct StartCohort {
+    size: u32,
+    number: u32,
+    began: TickTime,
+    started: u32,
+    busy_starts: u32,
+    in_flight_sum: u64,
+    finished: u32,
+    failures: u32,
+    samples: u32,
+    log_sum: f64,
+}
+
+impl StartCohort {
+    pub(super) const fn new(size: u32) -> Self {
+        Self {
+            size,
+            number: 0,
+            began: TickTime::from_millis(0),
+            started: 0,
+            busy_starts: 0,
+            in_flight_sum: 0,
+            finished: 0,
+            failures: 0,
+            samples: 0,
+            log_sum: 0.0,
+        }
+    }
+
+    /// Begins a cohort of the given size.
+    pub(super) fn restart(&mut self, size: u32) {
+        *self = Self {
+            number: self.number.wrapping_add(1),
+            ..Self::new(size)
+        };
+    }
+
+    pub(super) fn start(
+        &mut self,
+        now: TickTime,
+        in_flight: usize,
+        is_at_limit: bool,
+    ) -> Option<u32> {
+        if self.started == self.size {
+            return None;
+        }
+        if self.started == 0 {
+            self.began = now;
+        }
+        self.started += 1;
+        self.in_flight_sum += in_flight as u64;
+        self.busy_starts += u32::from(is_at_limit);
+        Some(self.number)
+    }
+
+    pub(super) fn finish(&mut self, number: u32, log_ratio: Option<f64>, result: WorkResult) {
+        if number != self.number {
+            return;
+        }
+        self.finished += 1;
+        self.failures += u32::from(result == WorkResult::Failure);
+        if let Some(log_ratio) = log_ratio {
+            self.samples += 1;
+            self.log_sum += log_ratio;
+        }
+    }
+
+    /// Returns the number of the cohort if enough of its work has finished for a result.
+    pub(super) fn ready(&self) -> Option<u32> {
+        (self.finished * 100 >= self.size * NEEDED_PERCENT).then_some(self.number)
+    }
+
+    /// Counts work that still runs with the service time that it has reached. Leaving it out would make the result
+    /// look faster, and more so the smaller the cohort is.
+    pub(super) fn add_unfinished(&mut self, log_ratio: f64) {
+        self.samples += 1;
+        self.log_sum += log_ratio;
+    }
+
+    /// Returns the means of the cohort once it is ready.
+    pub(super) fn result(&self, now: TickTime) -> Option<CohortResult> {
+        self.ready()?;
+        let log_ratio =
+            (self.samples >= MIN_SAMPLES).then(|| self.log_sum / f64::from(self.samples));
+        Some(CohortResult {
+            log_ratio,
+            failure_share: f64::from(self.failures) / f64::from(self.finished),
+            busy_share: f64::from(self.busy_starts) / f64::from(self.started),
+            in_flight: self.in_flight_sum as f64 / f64::from(self.started),
+            duration: now - self.began,
+        })
+    }
+
+    /// Returns how long the cohort has been going on.
+    pub(super) fn age(&self, now: TickTime) -> Duration {
+        if self.started == 0 {
+            return Duration::ZERO;
+        }
+        now - self.began
+    }
+}
--- /dev/null
+++ b/src/shares/ledger/account.rs
@@ -0,0 +1,222 @@
+//! Shares of one caller.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use crate::types::{NodeId, TickTime};
+
+use super::super::{
+    DEPOSIT_LIFE, RateDemand, RateShare, SCARCE_DEPOSIT_LIFE, SHARE_LEASE, TOKEN, accrued,
+    lease_capacity,
+};
+use super::fill_time;
+use super::node_account::{AccountTotals, NodeAccount};
+
+/// Limit of one caller over the whole mesh.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct CallerLimit {
+    pub(super) rate_per_s: u32,
+    pub(super) burst: u32,
+}
+
+impl CallerLimit {
+    fn capacity(self, lease_per_s: u32) -> u32 {
+        lease_capacity(lease_per_s, self.rate_per_s, self.burst)
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct CallerAccount {
+    nodes: BTreeMap<NodeId, NodeAccount>,
+    totals: AccountTotals,
+    // When something of a node expires; an entry may be out of date.
+    due: BinaryHeap<Reverse<(TickTime, NodeId)>>,
+    bank: u64,
+    banked_at: TickTime,
+    used_at: TickTime,
+    limit: CallerLimit,
+}
+
+impl CallerAccount {
+    /// Opens an account whose bank has filled since `known_from`.
+    pub(super) fn new(now: TickTime, known_from: TickTime, limit: CallerLimit) -> Self {
+        let bank = accrued(limit.rate_per_s, now.saturating_since(known_from));
+        Self {
+            nodes: BTreeMap::new(),
+            totals: AccountTotals::default(),
+            due: BinaryHeap::new(),
+            bank: bank.min(u64::from(limit.burst) * TOKEN),
+            banked_at: now.max(known_from),
+            used_at: now,
+            limit,
+        }
+    }
+
+    pub(super) fn is_idle(&self, now: TickTime) -> bool {
+        self.nodes.is_empty() && now.saturating_since(self.used_at) > fill_time(self.limit)
+    }
+
+    pub(super) fn leased_rate(&self, now: TickTime) -> u32 {
+        let rates = self.nodes.values().map(|node| node.leased_rate(now));
+        rates.sum()
+    }
+
+    /// Fills the bank at the rate that was not leased, then removes what expired.
+    ///
+    /// Shares that expired since the last settlement count as held for the whole time.
+    pub(super) fn settle(&mut self, now: TickTime) {
+        let leased = self.totals.rate_per_s;
+        let unleased = u64::from(self.limit.rate_per_s).saturating_sub(leased);
+        let span = now.saturating_since(self.banked_at);
+        let income = accrued(unleased as u32, span);
+        self.bank = self.bank.saturating_add(income);
+        self.banked_at = self.banked_at.max(now);
+        self.clip_bank();
+        self.drop_expired(now);
+    }
+
+    fn drop_expired(&mut self, now: TickTime) {
+        while let Some(Reverse((due_at, node_id))) = self.due.peek().copied()
+            && due_at <= now
+        {
+            self.due.pop();
+            let is_active = self.change_node(node_id, |node| {
+                node.drop_expired(now);
+                node.is_active(now)
+            });
+            if !is_active {
+                self.nodes.remove(&node_id);
+            }
+        }
+    }
+
+    /// Changes a node and keeps the totals in step.
+    fn change_node<T>(&mut self, node_id: NodeId, change: impl FnOnce(&mut NodeAccount) -> T) -> T {
+        let node = self.nodes.entry(node_id).or_default();
+        self.totals.subtract(node.totals());
+        let result = change(node);
+        self.totals.add(node.totals());
+        result
+    }
+
+    fn note_demand(&mut self, now: TickTime, node_id: NodeId, offered_per_s: u32) {
+        self.change_node(node_id, |node| node.note_demand(now, offered_per_s));
+        self.due.push(Reverse((now + SHARE_LEASE, node_id)));
+    }
+
+    pub(super) fn set_limit(&mut self, now: TickTime, limit: CallerLimit) {
+        self.limit = limit;
+        self.clip_bank();
+        self.used_at = now;
+    }
+
+    fn clip_bank(&mut self) {
+        let stored = self.totals.capacity + self.totals.deposited;
+        let room = u64::from(self.limit.burst).saturating_sub(stored);
+        self.bank = self.bank.min(room * TOKEN);
+    }
+
+    /// Extends a lease that the former leader gave, without changing it.
+    pub(super) fn confirm(
+        &mut self,
+        now: TickTime,
+        node_id: NodeId,
+        demand: &RateDemand,
+    ) -> Option<RateShare> {
+        self.note_demand(now, node_id, demand.offered_per_s);
+        let free = self.free_rate(now, node_id);
+        let rate_per_s = demand.held_per_s.min(free);
+        let capacity = self.limit.capacity(rate_per_s);
+        if capacity == 0 {
+            return None;
+        }
+        self.change_node(node_id, |node| node.push_lease(now, rate_per_s, capacity));
+        Some(lease_share(demand, rate_per_s, 0))
+    }
+
+    /// Grants a lease for sustained demand, and a deposit for the rest.
+    pub(super) fn grant(
+        &mut self,
+        now: TickTime,
+        node_id: NodeId,
+        demand: &RateDemand,
+    ) -> impl Iterator<Item = RateShare> + use<> {
+        self.note_demand(now, node_id, demand.offered_per_s);
+        let had_rate = self.nodes[&node_id].leased_rate(now);
+        let planned = self.plan_lease(now, node_id);
+        let lease = planned.map(|(rate_per_s, capacity)| {
+            self.change_node(node_id, |node| node.push_lease(now, rate_per_s, capacity));
+            lease_share(demand, rate_per_s, capacity)
+        });
+        self.clip_bank();
+        // A new lease starts empty and does not yet serve the requests that wait.
+        let covered = had_rate.min(self.nodes[&node_id].leased_rate(now));
+        let deposit = self.deposit(now, node_id, demand, covered);
+        lease.into_iter().chain(deposit)
+    }
+
+    fn deposit(
+        &mut self,
+        now: TickTime,
+        node_id: NodeId,
+        demand: &RateDemand,
+        covered: u32,
+    ) -> Option<RateShare> {
+        let missing = self.nodes[&node_id].missing_tokens(demand.offered_per_s, covered);
+        let tokens = u64::from(missing).min(self.bank / TOKEN) as u32;
+        if tokens == 0 {
+            return None;
+        }
+        self.bank -= u64::from(tokens) * TOKEN;
+        let is_ample = self.bank * 2 >= u64::from(self.limit.burst) * TOKEN;
+        let life = if is_ample {
+            DEPOSIT_LIFE
+        } else {
+            SCARCE_DEPOSIT_LIFE
+        };
+        self.change_node(node_id, |node| node.push_deposit(now + life, tokens));
+        self.due.push(Reverse((now + life, node_id)));
+        Some(deposit_share(demand, tokens, life))
+    }
+
+    /// Returns the rate that no other node holds.
+    fn free_rate(&self, now: TickTime, node_id: NodeId) -> u32 {
+        let own = u64::from(self.nodes[&node_id].leased_rate(now));
+        let others = self.totals.rate_per_s.saturating_sub(own);
+        u64::from(self.limit.rate_per_s).saturating_sub(others) as u32
+    }
+
+    fn plan_lease(&self, now: TickTime, node_id: NodeId) -> Option<(u32, u32)> {
+        let node = &self.nodes[&node_id];
+        if !node.is_sustained() {
+            return None;
+        }
+        let target = node.target_rate(self.totals.wanted_milli, self.limit.rate_per_s);
+        let free = self.free_rate(now, node_id);
+        let rate = node.steady_rate(now, target).min(free);
+        let own = u64::from(node.leased_capacity(now));
+        let stored = self.totals.capacity + self.totals.deposited - own;
+        let room = u64::from(self.limit.burst).saturating_sub(stored);
+        let capacity = self.limit.capacity(rate).min(room as u32);
+        (capacity > 0).then_some((rate, capacity))
+    }
+}
+
+fn lease_share(demand: &RateDemand, rate_per_s: u32, burst: u32) -> RateShare {
+    RateShare {
+        caller: demand.caller.clone(),
+        rate_per_s,
+        burst,
+        valid_for: SHARE_LEASE,
+    }
+}
+
+fn deposit_share(demand: &RateDemand, tokens: u32, valid_for: Duration) -> RateShare {
+    RateShare {
+        caller: demand.caller.clone(),
+        rate_per_s: 0,
+        burst: tokens,
+        valid_for,
+    }
+}
