Test broken connections, old claims and metrics of control replicas

A claim whose key is older than the retention is dropped and its key refused from then on; gauges reach a UDP receiver.

--- a/tests/control.rs
+++ b/tests/control.rs
@@ -103,6 +103,40 @@
     assert_eq!(cluster.shown().await, (2, 2));
 }
 
+// Guards against an edit that is lost or applied twice while connections break all the time.
+#[tokio::test(flavor = "multi_thread")]
+async fn apply_over_broken_connections() {
+    let cluster = ControlCluster::start().await;
+    let breaks = async {
+        for replica in cluster.replicas.iter().cycle() {
+            let set = |value| {
+                replica
+                    .proxy
+                    .set_faults(|faults| faults.is_dropping = value)
+            };
+            set(true);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            set(false);
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    };
+    let edits = async {
+        for version in 0..200_u32 {
+            let id = format!("c{version}");
+            let reply = cluster.apply(&id, version.into(), version + 1).await;
+            assert_eq!(
+                (reply.accepted, reply.version),
+                (true, u64::from(version) + 1)
+            );
+        }
+    };
+    tokio::select! {
+        () = breaks => {}
+        () = edits => {}
+    }
+    assert_eq!(cluster.shown().await, (200, 200));
+}
+
 // Guards against an isolated leader that keeps confirming old plans, and against one that disturbs the others when it
 // returns.
 #[tokio::test(flavor = "multi_thread")]
@@ -395,6 +429,40 @@
     assert_eq!(claim(addresses[1], next).await, ClaimDecision::Granted);
 }
 
+// Guards against a key that can be claimed again after its claim was dropped, and against metrics that never leave.
+#[tokio::test(flavor = "multi_thread")]
+async fn claim_old_key() {
+    let receiver = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = receiver.local_addr().unwrap();
+    let extra = format!("metrics_address = \"{address}\"\nclaim_retention_s = 60");
+    let cluster = ControlCluster::start_with(&extra).await;
+    let client = cluster.client();
+    let mut old_key = new_key();
+    let hour_ms = 3_600_000_u64;
+    let raw = old_key.key.to_vec();
+    let created_ms = u64::from_be_bytes(raw[..8].try_into().unwrap()) >> 16;
+    let created = (created_ms - hour_ms).to_be_bytes();
+    old_key.key = [&created[2..], &raw[6..]].concat().into();
+    let first = decide_claim(&client, old_key.clone(), AttemptId::random()).await;
+    assert_eq!(first, ClaimDecision::Granted);
+    let fresh = decide_claim(&client, new_key(), AttemptId::random()).await;
+    assert_eq!(fresh, ClaimDecision::Granted);
+    poll("the end of the old claim", async || {
+        let status = client.status().await.ok()?;
+        (status.leader_id != 0 && status.claims == 1).then_some(())
+    })
+    .await;
+    let late = decide_claim(&client, old_key, AttemptId::random()).await;
+    assert_eq!(late, ClaimDecision::Expired);
+    poll("a metric", async || {
+        let mut packet = [0; 512];
+        let length = receiver.recv(&mut packet).await.ok()?;
+        let text = String::from_utf8_lossy(&packet[..length]).into_owned();
+        (text == "ebonyjunction.control.claims:1|g").then_some(())
+    })
+    .await;
+}
+
 // Guards against a program that stops at the first damaged setting.
 #[test]
 fn check_damaged_settings() {
