--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -15,8 +15,9 @@
 use super::body::ProxyBody;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-// Shorter than the idle bound of servers, so that a kept connection is rarely closed by the peer while it is reused.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+// Shorter than the 5 s after which common servers close idle connections: a request that is written to a connection
+// which the peer closes at that moment is lost, and its outcome is unknown.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 const MAX_IDLE_PER_PEER: usize = 64;
 
 /// Client for nodes and for the own target.
