--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -166,8 +166,11 @@
         let Some(peer) = leading.peers.get(disk_id) else {
             return;
         };
-        let previous_index = peer.next_index - 1;
-        let previous_term = self.store.term_at(previous_index);
+        let next_index = peer.next_index;
+        let previous_index = next_index - 1;
+        // Index 0 has a term even when the entry after it is only in a snapshot.
+        let is_held = next_index >= self.store.first_index();
+        let previous_term = self.store.term_at(previous_index).filter(|_| is_held);
         let can_take = !peer.is_probing
             && peer.transfer.is_none()
             && peer.in_flight() < self.settings.max_in_flight_appends;
@@ -177,7 +180,7 @@
         let entries = match previous_term {
             Some(_) if can_take => self
                 .store
-                .entries(peer_next(previous_index), self.settings.max_append_bytes),
+                .entries(next_index, self.settings.max_append_bytes),
             _ => Vec::new(),
         };
         if entries.is_empty() && !is_heartbeat {
@@ -243,7 +246,3 @@
         Ok(())
     }
 }
-
-fn peer_next(previous_index: u64) -> u64 {
-    previous_index + 1
-}
