Test the command lines and a claim whose answer is lost

Cause: neither was covered; a claim that is recorded while its answer is lost must be released by attempt id. Conclusion: the release reaches the log and a resend of the key runs once.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -162,25 +162,30 @@
     assert_eq!(counts(mesh.target.address).await["keys"][&key], 1);
 }
 
-// Guards against a payment that is handed over without a claim.
+// Guards against a payment that is handed over without a claim, and against a claim that stays held for ever because
+// its answer was lost.
 #[tokio::test]
 async fn payment_waits_for_claim_log() {
     let mesh = Mesh::start("", &[]).await;
-    mesh.registry.state().claim_mode = ClaimMode::Unavailable;
-    let key = uuid::Uuid::now_v7().to_string();
-    let headers = [
-        RESELLER,
-        ("idempotency-key", key.as_str()),
-        ("ebj-timeout-ms", "400"),
-    ];
-    let refused = post(mesh.entry.entry, "/orders/pay", &headers).await;
-    assert_eq!(refused.json()["outcome"], "not-run");
-    assert!(counts(mesh.target.address).await["keys"][&key].is_null());
-    mesh.registry.state().claim_mode = ClaimMode::Normal;
-    let headers = [RESELLER, ("idempotency-key", key.as_str())];
-    let answer = post(mesh.entry.entry, "/orders/pay", &headers).await;
-    assert_eq!(answer.verdict(), "200 ran");
-    assert_eq!(counts(mesh.target.address).await["keys"][&key], 1);
+    for mode in [ClaimMode::Unavailable, ClaimMode::Lost] {
+        mesh.registry.state().claim_mode = mode;
+        let key = uuid::Uuid::now_v7().to_string();
+        let headers = [
+            RESELLER,
+            ("idempotency-key", key.as_str()),
+            ("ebj-timeout-ms", "400"),
+        ];
+        let refused = post(mesh.entry.entry, "/orders/pay", &headers).await;
+        assert_eq!(refused.json()["outcome"], "not-run", "{mode:?}");
+        assert!(counts(mesh.target.address).await["keys"][&key].is_null());
+        mesh.registry.state().claim_mode = ClaimMode::Normal;
+        poll("the released claim", async || {
+            let answer = post(mesh.entry.entry, "/orders/pay", &headers[..2]).await;
+            (answer.verdict() == "200 ran").then_some(())
+        })
+        .await;
+        assert_eq!(counts(mesh.target.address).await["keys"][&key], 1);
+    }
 }
 
 // Guards against a target that works without knowing the deadline, and against a caller that waits beyond it.
--- a/tests/node_peer.rs
+++ b/tests/node_peer.rs
@@ -178,3 +178,53 @@
     let second = tokio::time::timeout(Duration::from_millis(300), receiver.recv()).await;
     assert!(second.is_err(), "the refused attempt was sent again");
 }
+
+fn run_program(program: &str, arguments: &[&str]) -> (Option<i32>, String, String) {
+    let output = std::process::Command::new(program)
+        .args(arguments)
+        .output()
+        .unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (
+        output.status.code(),
+        text(output.stdout),
+        text(output.stderr),
+    )
+}
+
+// Guards against command lines that start a process with wrong settings or hide a finding.
+#[test]
+fn command_line_is_checked() {
+    let node = env!("CARGO_BIN_EXE_ebonyjunction-node");
+    let stand_in = env!("CARGO_BIN_EXE_ebonyjunction-stand-in");
+    for program in [node, stand_in] {
+        let (code, text, _) = run_program(program, &["--version"]);
+        assert_eq!(code, Some(0));
+        assert!(
+            text.ends_with(concat!(env!("CARGO_PKG_VERSION"), "\n")),
+            "{text}"
+        );
+        let (code, text, _) = run_program(program, &["--help"]);
+        assert_eq!(code, Some(0));
+        assert!(text.contains("Usage: ebonyjunction-"), "{text}");
+        assert_eq!(run_program(program, &[]).0, Some(2));
+    }
+    let file = tempfile::NamedTempFile::new().unwrap();
+    let path = file.path().to_str().unwrap();
+    std::fs::write(path, "zone = \"A\"\nspeed = 1\n").unwrap();
+    let (code, _, text) = run_program(node, &["--settings", path, "--check"]);
+    assert_eq!(code, Some(2));
+    for finding in [":1: zone:", ":2: speed:", "mesh_token: is required"] {
+        assert!(text.contains(finding), "{text}");
+    }
+    assert_eq!(
+        run_program(node, &["--settings", path, "--speed"]).0,
+        Some(2)
+    );
+    let settings = "entry_address = \"127.0.0.1:0\"\nmesh_address = \"127.0.0.1:0\"\n\
+                    local_address = \"127.0.0.1:0\"\nzone = \"a\"\nregion = \"a\"\n\
+                    mesh_token = \"mesh-token-of-the-tests\"\ncontrol = [\"127.0.0.1:9\"]\n";
+    std::fs::write(path, settings).unwrap();
+    let (code, text, _) = run_program(node, &["--settings", path, "--check"]);
+    assert_eq!(code, Some(0), "{text}");
+}
--- a/tests/support/registry.rs
+++ b/tests/support/registry.rs
@@ -18,6 +18,8 @@
     #[default]
     Normal,
     Unavailable,
+    /// The claim is recorded but its answer is lost.
+    Lost,
 }
 
 type ClaimScope = (String, String, Vec<u8>);
@@ -169,6 +171,9 @@
             let entry = (attempt, ClaimOutcome::Unspecified);
             state.claims.insert(scope, entry);
         }
+        if state.claim_mode == ClaimMode::Lost {
+            return Err(Status::unavailable("the answer is lost"));
+        }
         Ok(Response::new(ClaimReply {
             decision: decision.into(),
             holder_attempt_id: Vec::new().into(),
