Count a request that waits for a share once

take_token called ShareBucket::take again after the early heartbeat, so each request that had waited counted as two in the demand, and a sparse caller looked twice as busy. The second try now uses take_again.

node, routing, shares and directory tests pass.

--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -205,7 +205,7 @@
         }
         let _ = timeout(SHARE_WAIT, granted).await;
         drop(waiter);
-        self.try_token(caller, plan)
+        lock(&self.shares).take_again(self.now(), caller, plan)
     }
 
     fn try_token(&self, caller: &CallerEntry, plan: &PlanEntry) -> Result<(), Duration> {
