Give up a silent connection once, not once for each late call

Each call that timed out removed the connection that was then in the table, usually a newer one, so a cut replica got about 13 new connections per second and peer. Connections now have numbers and a call gives up only its own.

--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -131,13 +131,13 @@
     {
         let deadline = Instant::now() + bounds.total;
         let mut last_error = "no address is configured".to_owned();
-        while let Some((position, channel)) = self.channels.current() {
+        while let Some((used, channel)) = self.channels.current() {
             let time_left = deadline.saturating_duration_since(Instant::now());
             if time_left.is_zero() {
                 break;
             }
             let bound = time_left.min(bounds.each);
-            let address = self.channels.address(position);
+            let address = self.channels.address(used);
             match timeout(bound, send(channel)).await {
                 Ok(Ok(response)) => return Ok(response.into_inner()),
                 Ok(Err(status)) if is_permanent(&status) => {
@@ -145,11 +145,11 @@
                 }
                 Ok(Err(status)) => {
                     last_error = describe(address, &status);
-                    self.channels.rotate(position, false);
+                    self.channels.rotate(used, false);
                 }
                 Err(_) => {
                     last_error = format!("{address}: no answer within {} ms", bound.as_millis());
-                    self.channels.rotate(position, true);
+                    self.channels.rotate(used, true);
                 }
             }
             sleep(RETRY_PAUSE.min(deadline.saturating_duration_since(Instant::now()))).await;
--- a/src/control_client/channels.rs
+++ b/src/control_client/channels.rs
@@ -1,7 +1,7 @@
 //! Connections to the control replicas.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tonic::metadata::{Ascii, MetadataValue};
@@ -69,7 +69,15 @@
 #[derive(Debug)]
 struct ChannelState {
     position: usize,
-    channels: Vec<Option<Channel>>,
+    channels: Vec<Option<(u64, Channel)>>,
+    last_number: u64,
+}
+
+/// Place of a channel in the table, and its number, so that a late call cannot give up the successor of its channel.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ChannelRef {
+    position: usize,
+    number: u64,
 }
 
 impl ChannelTable {
@@ -77,6 +85,7 @@
         let state = ChannelState {
             position: start_position(addresses.len()),
             channels: vec![None; addresses.len()],
+            last_number: 0,
         };
         Self {
             addresses,
@@ -85,35 +94,42 @@
         }
     }
 
-    pub(super) fn address(&self, position: usize) -> SocketAddr {
-        self.addresses[position]
+    pub(super) fn address(&self, channel: ChannelRef) -> SocketAddr {
+        self.addresses[channel.position]
     }
 
     /// Returns the replica in use, opening its channel if needed.
-    pub(super) fn current(&self) -> Option<(usize, MeshChannel)> {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+    pub(super) fn current(&self) -> Option<(ChannelRef, MeshChannel)> {
+        let mut state = self.lock();
         let position = state.position;
         let address = *self.addresses.get(position)?;
-        let slot = state.channels.get_mut(position)?;
-        if slot.is_none() {
-            *slot = Some(mesh_endpoint(address).ok()?.connect_lazy());
+        if state.channels.get(position)?.is_none() {
+            let channel = mesh_endpoint(address).ok()?.connect_lazy();
+            state.last_number += 1;
+            state.channels[position] = Some((state.last_number, channel));
         }
-        let channel = slot.clone()?;
+        let (number, channel) = state.channels[position].clone()?;
         let service = InterceptedService::new(channel, self.interceptor.clone());
-        Some((position, service))
+        Some((ChannelRef { position, number }, service))
     }
 
     /// Moves on to the next replica unless another call did so. A silent connection is given up, since TCP would
     /// otherwise hold it for minutes.
-    pub(super) fn rotate(&self, position: usize, is_silent: bool) {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        if is_silent && let Some(slot) = state.channels.get_mut(position) {
-            *slot = None;
+    pub(super) fn rotate(&self, channel: ChannelRef, is_silent: bool) {
+        let mut state = self.lock();
+        let ChannelRef { position, number } = channel;
+        let held = state.channels[position].as_ref();
+        if is_silent && held.is_some_and(|(current, _)| *current == number) {
+            state.channels[position] = None;
         }
         if state.position == position {
             state.position = (position + 1) % self.addresses.len();
         }
     }
+
+    fn lock(&self) -> MutexGuard<'_, ChannelState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 // Spreads the nodes over the replicas.
--- a/src/control_server/links.rs
+++ b/src/control_server/links.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::time::timeout;
@@ -17,14 +17,21 @@
 #[derive(Debug, Clone)]
 pub(super) struct LinkTable {
     interceptor: TokenInterceptor,
-    channels: Arc<Mutex<BTreeMap<SocketAddr, Channel>>>,
+    state: Arc<Mutex<LinkState>>,
+}
+
+#[derive(Debug, Default)]
+struct LinkState {
+    // Each channel has a number, so that a late call cannot give up the successor of its channel.
+    channels: BTreeMap<SocketAddr, (u64, Channel)>,
+    last_number: u64,
 }
 
 impl LinkTable {
     pub(super) fn new(token: &MeshToken) -> Self {
         Self {
             interceptor: TokenInterceptor::new(token),
-            channels: Arc::default(),
+            state: Arc::default(),
         }
     }
 
@@ -42,32 +49,42 @@
         let address: SocketAddr = address
             .parse()
             .map_err(|_| Status::internal(format!("replica address {address:?} is malformed")))?;
-        let channel = self.channel(address)?;
+        let (number, channel) = self.channel(address)?;
         if let Ok(result) = timeout(bound, send(channel)).await {
             return result.map(Response::into_inner);
         }
-        self.lock().remove(&address);
+        self.give_up(address, number);
         let millis = bound.as_millis();
         Err(Status::unavailable(format!(
             "replica {address} gave no answer within {millis} ms"
         )))
     }
 
-    fn channel(&self, address: SocketAddr) -> Result<MeshChannel, Status> {
-        let mut channels = self.lock();
-        let channel = if let Some(channel) = channels.get(&address) {
-            channel.clone()
+    fn channel(&self, address: SocketAddr) -> Result<(u64, MeshChannel), Status> {
+        let mut state = self.lock();
+        let (number, channel) = if let Some(link) = state.channels.get(&address) {
+            link.clone()
         } else {
             let endpoint =
                 mesh_endpoint(address).map_err(|error| Status::internal(error.to_string()))?;
-            let channel = endpoint.connect_lazy();
-            channels.insert(address, channel.clone());
-            channel
+            state.last_number += 1;
+            let link = (state.last_number, endpoint.connect_lazy());
+            state.channels.insert(address, link.clone());
+            link
         };
-        Ok(InterceptedService::new(channel, self.interceptor.clone()))
+        let service = InterceptedService::new(channel, self.interceptor.clone());
+        Ok((number, service))
+    }
+
+    fn give_up(&self, address: SocketAddr, number: u64) {
+        let mut state = self.lock();
+        let current = state.channels.get(&address);
+        if current.is_some_and(|(current, _)| *current == number) {
+            state.channels.remove(&address);
+        }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Channel>> {
-        self.channels.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, LinkState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
