--- a/tests/support/fault_proxy.rs
+++ b/tests/support/fault_proxy.rs
@@ -4,16 +4,15 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex, Weak};
 use std::thread;
 use std::time::Duration;
 
-const HOLD_POLL: Duration = Duration::from_millis(20);
-const READ_BOUND: Duration = Duration::from_millis(200);
+const LOOKUP_PAUSE: Duration = Duration::from_millis(20);
 const LOOKUPS: usize = 20;
 
 /// Faults of one proxy. Held bytes are delivered when the fault ends, as TCP does.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Default, Clone, PartialEq)]
 pub struct ProxyFaults {
     /// Nothing passes in either direction.
     pub is_cut: bool,
@@ -31,6 +30,27 @@
 struct ProxyState {
     target: Option<SocketAddr>,
     faults: ProxyFaults,
+    links: Vec<Weak<ProxyLink>>,
+}
+
+/// State with a signal for each change of the faults, so that held connections cost no time.
+#[derive(Debug, Default)]
+struct SharedState {
+    state: Mutex<ProxyState>,
+    changed: Condvar,
+}
+
+#[derive(Debug)]
+struct ProxyLink {
+    client: TcpStream,
+    server: TcpStream,
+}
+
+impl ProxyLink {
+    fn close(&self) {
+        let _ = self.client.shutdown(Shutdown::Both);
+        let _ = self.server.shutdown(Shutdown::Both);
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -43,107 +63,102 @@
 #[derive(Debug, Clone)]
 pub struct FaultProxy {
     pub address: SocketAddr,
-    state: Arc<Mutex<ProxyState>>,
+    shared: Arc<SharedState>,
 }
 
 impl FaultProxy {
     pub fn start() -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         let address = listener.local_addr().unwrap();
-        let state = Arc::<Mutex<ProxyState>>::default();
-        let accepted = Arc::clone(&state);
+        let shared = Arc::<SharedState>::default();
+        let accepted = Arc::clone(&shared);
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
-                let state = Arc::clone(&accepted);
-                thread::spawn(move || serve(&client, &state));
+                serve(client, &accepted);
             }
         });
-        Self { address, state }
+        Self { address, shared }
     }
 
     pub fn set_target(&self, target: SocketAddr) {
-        self.state.lock().unwrap().target = Some(target);
+        self.shared.state.lock().unwrap().target = Some(target);
     }
 
     pub fn clear_target(&self) {
-        self.state.lock().unwrap().target = None;
+        self.shared.state.lock().unwrap().target = None;
     }
 
     pub fn set_faults(&self, change: impl FnOnce(&mut ProxyFaults)) {
-        change(&mut self.state.lock().unwrap().faults);
+        let mut state = self.shared.state.lock().unwrap();
+        change(&mut state.faults);
+        if state.faults.is_dropping {
+            let links = state.links.drain(..);
+            links
+                .filter_map(|link| link.upgrade())
+                .for_each(|link| link.close());
+        }
+        self.shared.changed.notify_all();
     }
 }
 
-fn serve(client: &TcpStream, state: &Arc<Mutex<ProxyState>>) {
-    let (target, faults) = {
-        let state = state.lock().unwrap();
-        (state.target, state.faults.clone())
-    };
-    let Some(target) = target.filter(|_| !faults.is_dropping) else {
-        return;
-    };
-    let Ok(server) = TcpStream::connect(target) else {
+fn serve(client: TcpStream, shared: &Arc<SharedState>) {
+    let mut state = shared.state.lock().unwrap();
+    let target = state.target.filter(|_| !state.faults.is_dropping);
+    // A connection to loopback succeeds or fails at once.
+    let Some(Ok(server)) = target.map(TcpStream::connect) else {
         return;
     };
-    let (Ok(sender), Ok(receiver)) = (client.peer_addr(), client.local_addr()) else {
-        return;
-    };
-    for (from, to, direction) in [
-        (client, &server, Direction::Request),
-        (&server, client, Direction::Answer),
-    ] {
-        let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
-            return;
-        };
-        let state = Arc::clone(state);
-        let sender = SenderSocket::new([sender, receiver]);
-        thread::spawn(move || copy(from, to, direction, sender, &state));
+    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    let link = Arc::new(ProxyLink { client, server });
+    state.links.retain(|link| link.strong_count() > 0);
+    state.links.push(Arc::downgrade(&link));
+    for direction in [Direction::Request, Direction::Answer] {
+        let (link, shared) = (Arc::clone(&link), Arc::clone(shared));
+        thread::spawn(move || {
+            // An error of one side ends both.
+            let _ = copy(&link, direction, &shared);
+            link.close();
+        });
     }
 }
 
-fn copy(
-    mut from: TcpStream,
-    mut to: TcpStream,
-    direction: Direction,
-    mut sender: SenderSocket,
-    state: &Mutex<ProxyState>,
-) {
-    let _ = (
-        to.set_nodelay(true),
-        from.set_read_timeout(Some(READ_BOUND)),
-    );
+fn copy(link: &ProxyLink, direction: Direction, shared: &SharedState) -> std::io::Result<()> {
+    let (mut from, mut to) = match direction {
+        Direction::Request => (&link.client, &link.server),
+        Direction::Answer => (&link.server, &link.client),
+    };
+    let mut sender = SenderSocket::new([link.client.peer_addr()?, link.client.local_addr()?]);
     let mut buffer = vec![0; 64 * 1024];
     loop {
-        let length = match from.read(&mut buffer) {
-            Ok(0) => break,
-            Ok(length) => length,
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => 0,
-            Err(_) => break,
-        };
-        loop {
-            let faults = state.lock().unwrap().faults.clone();
-            if faults.is_dropping {
-                let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
-                return;
-            }
-            let is_held = faults.is_cut
-                || (faults.holds_answers && direction == Direction::Answer)
-                || sender.is_held_by(&faults.cut_processes);
-            if length == 0 || !is_held {
-                thread::sleep(if length == 0 {
-                    Duration::ZERO
-                } else {
-                    faults.delay
-                });
-                break;
-            }
-            thread::sleep(HOLD_POLL);
+        let length = from.read(&mut buffer)?;
+        if length == 0 {
+            return Ok(());
+        }
+        let delay = wait_passage(direction, &mut sender, shared);
+        thread::sleep(delay);
+        to.write_all(&buffer[..length])?;
+    }
+}
+
+/// Waits while the faults hold the data back and returns the delay in force then.
+fn wait_passage(direction: Direction, sender: &mut SenderSocket, shared: &SharedState) -> Duration {
+    let mut state = shared.state.lock().unwrap();
+    loop {
+        let faults = state.faults.clone();
+        let is_held = faults.is_cut || (faults.holds_answers && direction == Direction::Answer);
+        if !is_held && faults.cut_processes.is_empty() {
+            return faults.delay;
+        }
+        // The look-up takes a while.
+        drop(state);
+        if !is_held && !sender.is_held_by(&faults.cut_processes) {
+            return faults.delay;
         }
-        if to.write_all(&buffer[..length]).is_err() {
-            break;
+        state = shared.state.lock().unwrap();
+        if state.faults == faults {
+            state = shared.changed.wait(state).unwrap();
         }
     }
-    let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
 }
 
 /// Sender's end of a loopback connection, so that faults can depend on the process that holds it.
@@ -185,7 +200,7 @@
     (0..LOOKUPS).find_map(|_| {
         let socket = socket_of(ends);
         if socket.is_none() {
-            thread::sleep(HOLD_POLL);
+            thread::sleep(LOOKUP_PAUSE);
         }
         socket
     })
