Let the mesh of the overload bench settle before the load

Cause: 72 critical sends were answered 502 in a run; the logs show all of them in the first second, refused deeper with no-target, because nodes had not yet learnt of targets started after them. Ruled out: shedding of critical work during the overload; no such line is in the logs. Conclusion: the load starts two seconds after the processes, for the layer and the baseline alike.

--- a/benches/overload_recovery/main.rs
+++ b/benches/overload_recovery/main.rs
@@ -32,6 +32,8 @@
 };
 /// Share of the goodput before the overload at which the service counts as recovered.
 const RECOVERED_SHARE: f64 = 0.95;
+/// Time between the start of the processes and the first request.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Seconds at the start of the run that are left out of the goodput before the overload.
 const WARM_UP_S: usize = 3;
 
@@ -191,7 +193,7 @@
             targets.push(target);
         }
     }
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    tokio::time::sleep(SETTLE_TIME).await;
     run_load(LOAD, entries, CREDENTIAL.to_owned(), async |is_slow| {
         slow_down(&deep, is_slow).await;
     })
