--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -64,6 +64,8 @@
     faults: FaultPlan,
     oracle: Oracle,
     next_token: u64,
+    /// Idle schedules matter too: without new entries a replica that is cut off can still win votes.
+    max_proposal_pause: Micros,
     is_tracing: bool,
 }
 
@@ -95,6 +97,7 @@
             },
             max_flush_delay: log_uniform(&mut rng, 500.0, 50_000.0),
         };
+        let max_proposal_pause = log_uniform(&mut rng, 10_000.0, 3_000_000.0);
         let mut simulation = Self {
             network,
             faults: FaultPlan::draw(&mut rng),
@@ -106,6 +109,7 @@
             blocked: BTreeSet::new(),
             oracle: Oracle::default(),
             next_token: 1,
+            max_proposal_pause,
             is_tracing: std::env::var_os("SIMULATION_TRACE").is_some(),
         };
         for id in 1..=size {
@@ -185,7 +189,7 @@
         let pauses = if self.faults.is_ended {
             200_000..400_000
         } else {
-            1_000..90_000
+            1_000..self.max_proposal_pause
         };
         let pause = self.rng.random_range(pauses);
         self.schedule(pause, SimulatedEvent::Propose);
