--- a/src/bin/ebonyjunction-stand-in/main.rs
+++ b/src/bin/ebonyjunction-stand-in/main.rs
@@ -3,9 +3,11 @@
 mod announce;
 mod behaviour;
 mod counts;
+mod journal;
 mod serving;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -16,6 +18,7 @@
 use pico_args::Arguments;
 
 use behaviour::{Behaviour, CallPath, CutMode};
+use journal::ExecutionJournal;
 use serving::{StandIn, StandInSettings, run};
 
 #[global_allocator]
@@ -35,6 +38,7 @@
   --service-ms N       time that a request holds a slot (default 1)
   --answer-bytes N     length of the filler in an answer (default 0)
   --call /SERVICE/PATH service to call for each request; may be given several times
+  --journal FILE       file that gets a line for each execution before it begins, to count them after a kill
   --help               print this text
   --version            print the version
 
@@ -85,6 +89,7 @@
     let connections = option(&mut arguments, "--connections")?;
     let service_ms = option(&mut arguments, "--service-ms")?;
     let answer_bytes = option(&mut arguments, "--answer-bytes")?;
+    let journal: Option<PathBuf> = arguments.opt_value_from_str("--journal").map_err(usage)?;
     let calls: Vec<CallPath> = arguments.values_from_str("--call").map_err(usage)?;
     let unused = arguments.finish();
     if !unused.is_empty() {
@@ -99,6 +104,7 @@
         listen: listen.unwrap_or(default_listen),
         slots: slots.unwrap_or(DEFAULT_SLOTS),
         connections: connections.unwrap_or(DEFAULT_CONNECTIONS),
+        journal: ExecutionJournal::open(journal.as_deref())?,
         behaviour: Behaviour {
             service_ms: service_ms.unwrap_or(DEFAULT_SERVICE_MS),
             answer_bytes: answer_bytes.unwrap_or(0),
--- a/src/bin/ebonyjunction-stand-in/serving.rs
+++ b/src/bin/ebonyjunction-stand-in/serving.rs
@@ -28,6 +28,7 @@
 use crate::announce::{keep_announced, withdraw};
 use crate::behaviour::{Behaviour, BehaviourChange, CallPath, CutMode};
 use crate::counts::ExecutionCounts;
+use crate::journal::ExecutionJournal;
 
 const FILLER_CHUNK_BYTES: usize = 16 * 1024;
 const STOP_BOUND: Duration = Duration::from_secs(10);
@@ -48,6 +49,7 @@
     pub(crate) slots: u32,
     pub(crate) connections: u32,
     pub(crate) behaviour: Behaviour,
+    pub(crate) journal: ExecutionJournal,
 }
 
 /// State of the stand-in.
@@ -179,7 +181,9 @@
 async fn work(stand_in: &Arc<StandIn>, request: Request<Incoming>) -> Response<StandInBody> {
     let (parts, body) = request.into_parts();
     let text = |name: &str| parts.headers.get(name)?.to_str().ok();
-    lock(&stand_in.counts).start(text("idempotency-key"), text("ebj-request-id"));
+    let (key, request_id) = (text("idempotency-key"), text("ebj-request-id"));
+    stand_in.settings.journal.record(key, request_id);
+    lock(&stand_in.counts).start(key, request_id);
     let mut guard = ExecutionGuard {
         stand_in: Arc::clone(stand_in),
         is_finished: false,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -4,9 +4,10 @@
 
 use std::fmt::Write as _;
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use tempfile::TempDir;
@@ -29,10 +30,22 @@
     }
 }
 
-/// Reserves a free loopback port by binding it for a moment.
-pub(crate) fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
+/// Number of meshes that this process started.
+static FLEETS: AtomicU8 = AtomicU8::new(0);
+
+/// Returns a loopback address of its own for each mesh, so that no other program takes a port of a stopped process.
+fn fleet_ip() -> Ipv4Addr {
+    let [high, low] = (std::process::id() as u16).to_be_bytes();
+    let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 1 + number % 200, high, low.clamp(1, 254))
+}
+
+/// Reserves free ports by binding them for a moment.
+fn free_addresses(ip: Ipv4Addr, count: usize) -> Vec<SocketAddr> {
+    let bind = |_| TcpListener::bind((ip, 0)).expect("a free port");
+    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
+    let address = |listener: &TcpListener| listener.local_addr().expect("bound");
+    listeners.iter().map(address).collect()
 }
 
 /// One child process; killed when dropped.
@@ -44,6 +57,7 @@
 
 impl Process {
     pub(crate) fn start(program: &str, arguments: &[String], log: PathBuf) -> Self {
+        // A restarted process does not show the addresses of its predecessor.
         let output = File::create(&log).expect("log file");
         let child = Command::new(program)
             .args(arguments)
@@ -128,17 +142,20 @@
 /// Control replicas of one mesh.
 #[derive(Debug)]
 pub(crate) struct ControlFleet {
+    listen: Vec<SocketAddr>,
+    /// Addresses that nodes, operators and the other replicas use.
     pub(crate) addresses: Vec<SocketAddr>,
     pub(crate) replicas: Vec<Option<Process>>,
     folder: PathBuf,
 }
 
 impl ControlFleet {
-    pub(crate) fn start(folder: &Path, count: usize) -> Self {
-        let addresses = (0..count).map(|_| free_address()).collect();
+    fn start(folder: &Path, listen: Vec<SocketAddr>, advertised: Vec<SocketAddr>) -> Self {
+        let count = listen.len();
         let replicas = (0..count).map(|_| None).collect();
         let mut fleet = Self {
-            addresses,
+            listen,
+            addresses: advertised,
             replicas,
             folder: folder.to_owned(),
         };
@@ -154,9 +171,10 @@
 
     pub(crate) fn start_replica(&mut self, position: usize) {
         let mut settings = format!(
-            "replica_id = {}\ncontrol_address = \"{}\"\ndata_folder = \"{}\"\n\
-             mesh_token = \"{MESH_TOKEN}\"\nbootstrap = true\n",
+            "replica_id = {}\ncontrol_address = \"{}\"\nadvertise_address = \"{}\"\n\
+             data_folder = \"{}\"\nmesh_token = \"{MESH_TOKEN}\"\nbootstrap = true\n",
             position + 1,
+            self.listen[position],
             self.addresses[position],
             self.data_folder(position).display(),
         );
@@ -200,15 +218,35 @@
 /// One target with its node.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
+    pub(crate) spec: ServiceSpec,
     pub(crate) service: &'static str,
     pub(crate) node: Process,
     pub(crate) target: Process,
+    settings: NodeSettings,
     pub(crate) entry: SocketAddr,
     pub(crate) mesh: SocketAddr,
     pub(crate) local: SocketAddr,
     pub(crate) target_address: SocketAddr,
 }
 
+impl Endpoint {
+    pub(crate) fn wait_listening(&self) {
+        for listener in ["listener=entry", "listener=mesh", "listener=local"] {
+            self.node.listening(listener);
+        }
+        self.target.listening("event=listening");
+    }
+}
+
+/// Settings of a node that tests vary.
+#[derive(Debug, Clone)]
+struct NodeSettings {
+    zone: String,
+    entry: SocketAddr,
+    mesh: SocketAddr,
+    local: SocketAddr,
+}
+
 /// A whole mesh; everything ends when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -216,17 +254,33 @@
     pub(crate) endpoints: Vec<Endpoint>,
     pub(crate) operator_settings: PathBuf,
     pub(crate) folder: TempDir,
+    ip: Ipv4Addr,
 }
 
+const REPLICAS: usize = 3;
+
 impl Fleet {
     /// Starts replicas and endpoints, applies the lists and waits until all nodes serve.
     pub(crate) fn start(services: &[ServiceSpec], plans: &str, grants: &str) -> Self {
+        Self::start_behind(<[SocketAddr]>::to_vec, services, plans, grants)
+    }
+
+    /// Does the same; all processes reach the replicas under the addresses that the function returns.
+    pub(crate) fn start_behind(
+        advertise: impl FnOnce(&[SocketAddr]) -> Vec<SocketAddr>,
+        services: &[ServiceSpec],
+        plans: &str,
+        grants: &str,
+    ) -> Self {
         // FLEET_KEEP=1 keeps settings and logs for a look after the run.
         let is_kept = std::env::var_os("FLEET_KEEP").is_some();
         let mut builder = tempfile::Builder::new();
         let folder = builder.prefix("fleet-").disable_cleanup(is_kept).tempdir();
         let folder = folder.expect("temporary folder");
-        let control = ControlFleet::start(folder.path(), 3);
+        let ip = fleet_ip();
+        let listen = free_addresses(ip, REPLICAS);
+        let advertised = advertise(&listen);
+        let control = ControlFleet::start(folder.path(), listen, advertised);
         let operator_settings = folder.path().join("operator.toml");
         let text = format!(
             "control = [{}]\nmesh_token = \"{MESH_TOKEN}\"\nchange_folder = \"{}\"\n",
@@ -239,6 +293,7 @@
             endpoints: Vec::new(),
             operator_settings,
             folder,
+            ip,
         };
         fleet.apply_when_ready(plans, grants);
         for service in services {
@@ -246,28 +301,34 @@
                 fleet.start_endpoint(service, "zone-a");
             }
         }
+        fleet.wait_listening();
         fleet.wait_ready();
         fleet
     }
 
-    /// Starts a node and its target.
+    /// Starts a node and its target without waiting for them.
     pub(crate) fn start_endpoint(&mut self, service: &ServiceSpec, zone: &str) -> usize {
         let position = self.endpoints.len();
         let folder = self.folder.path();
-        let node = start_node(folder, position, zone, &self.control.addresses);
-        let (entry, mesh, local) = (
-            node.listening("listener=entry"),
-            node.listening("listener=mesh"),
-            node.listening("listener=local"),
-        );
+        let ports = free_addresses(self.ip, 4);
+        let [entry, mesh, local, target_address] = ports[..] else {
+            unreachable!("four addresses were asked for");
+        };
+        let settings = NodeSettings {
+            zone: zone.to_owned(),
+            entry,
+            mesh,
+            local,
+        };
+        let node = start_node(folder, position, &settings, &self.control.addresses);
         let log = folder.join(format!("target-{position}.log"));
-        let target = start_target(service, local, log);
-        let target_address = target.listening("event=listening");
-        let service = service.name;
+        let target = start_target_at(service, local, Some(target_address), log);
         self.endpoints.push(Endpoint {
-            service,
+            spec: service.clone(),
+            service: service.name,
             node,
             target,
+            settings,
             entry,
             mesh,
             local,
@@ -276,6 +337,30 @@
         position
     }
 
+    fn wait_listening(&self) {
+        for endpoint in &self.endpoints {
+            endpoint.wait_listening();
+        }
+    }
+
+    /// Kills the node of an endpoint and starts another one with the same addresses.
+    pub(crate) fn restart_node(&mut self, position: usize) {
+        let endpoint = &mut self.endpoints[position];
+        endpoint.node.kill();
+        let control = &self.control.addresses;
+        let node = start_node(self.folder.path(), position, &endpoint.settings, control);
+        endpoint.node = node;
+    }
+
+    /// Kills the target of an endpoint and starts another one with the same address.
+    pub(crate) fn restart_target(&mut self, position: usize) {
+        let endpoint = &mut self.endpoints[position];
+        endpoint.target.kill();
+        let log = self.folder.path().join(format!("target-{position}.log"));
+        let address = Some(endpoint.target_address);
+        endpoint.target = start_target_at(&endpoint.spec, endpoint.local, address, log);
+    }
+
     /// Runs the operator command.
     pub(crate) fn operator(&self, arguments: &[&str]) -> Output {
         Command::new(env!("CARGO_BIN_EXE_ebonyjunction"))
@@ -350,17 +435,19 @@
     quoted.join(", ")
 }
 
-/// Starts one node with free ports.
-pub(crate) fn start_node(
+fn start_node(
     folder: &Path,
     position: usize,
-    zone: &str,
+    node: &NodeSettings,
     control: &[SocketAddr],
 ) -> Process {
     let settings = format!(
-        "entry_address = \"127.0.0.1:0\"\nmesh_address = \"127.0.0.1:0\"\n\
-         local_address = \"127.0.0.1:0\"\nzone = \"{zone}\"\nregion = \"region-1\"\n\
-         mesh_token = \"{MESH_TOKEN}\"\ncontrol = [{}]\n",
+        "entry_address = \"{}\"\nmesh_address = \"{}\"\nlocal_address = \"{}\"\n\
+         zone = \"{}\"\nregion = \"region-1\"\nmesh_token = \"{MESH_TOKEN}\"\ncontrol = [{}]\n",
+        node.entry,
+        node.mesh,
+        node.local,
+        node.zone,
         quote_addresses(control),
     );
     let path = folder.join(format!("node-{position}.toml"));
@@ -375,12 +462,26 @@
 
 /// Starts a stand-in target beside a node.
 pub(crate) fn start_target(service: &ServiceSpec, node_local: SocketAddr, log: PathBuf) -> Process {
+    start_target_at(service, node_local, None, log)
+}
+
+fn start_target_at(
+    service: &ServiceSpec,
+    node_local: SocketAddr,
+    listen: Option<SocketAddr>,
+    log: PathBuf,
+) -> Process {
     let mut arguments = Vec::new();
     let mut flag = |name: &str, value: String| arguments.extend([name.to_owned(), value]);
     flag("--service", service.name.to_owned());
     flag("--node", node_local.to_string());
     flag("--slots", service.slots.to_string());
     flag("--service-ms", service.service_time.as_millis().to_string());
+    // Lines of all targets of an endpoint are kept; a restart appends.
+    flag("--journal", path_text(&log.with_extension("journal")));
+    if let Some(address) = listen {
+        flag("--listen", address.to_string());
+    }
     if let Some(path) = service.downstream {
         flag("--call", path.to_owned());
     }
--- /dev/null
+++ b/tests/mesh/attempts.rs
@@ -0,0 +1,82 @@
+//! Requirement 1: attempts are bounded over the whole chain.
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::json;
+
+use super::fixture::{ATTEMPTS, count_requests, executions, service, start_mesh, wait_quiet};
+use super::load::{ClientCall, ClientLoad, tally};
+use crate::client::{behave, counts};
+use crate::fleet::{Fleet, ServiceSpec};
+
+/// Requests before the fault; a tenth of them is what each hop may retry afterwards.
+const WARM_UP: usize = 200;
+const SENDERS: u64 = 4;
+const FAILING: usize = 12;
+const RESENDS: usize = 3;
+
+fn chain() -> [ServiceSpec; 4] {
+    let upper = |name, downstream| ServiceSpec {
+        downstream: Some(downstream),
+        ..service(name, 2, 20, 1)
+    };
+    [
+        upper("first", "/second/read"),
+        upper("second", "/third/read"),
+        upper("third", "/fourth/read"),
+        service("fourth", 2, 20, 1),
+    ]
+}
+
+async fn cut_answers(fleet: &Fleet, services: &[&str]) {
+    for endpoint in &fleet.endpoints {
+        if services.contains(&endpoint.service) {
+            behave(endpoint.target_address, &json!({"cut": "length"})).await;
+        }
+    }
+}
+
+async fn warm_up(fleet: &Fleet) {
+    let entry = fleet.endpoints[0].entry;
+    let load = ClientLoad::start(SENDERS, 1, move |rng| ClientCall::get(entry, "/first/read", rng));
+    super::fixture::poll("requests through the whole chain", async || {
+        let mut finished = 0;
+        for endpoint in fleet.endpoints.iter().filter(|it| it.service == "fourth") {
+            let counts = counts(endpoint.target_address).await;
+            finished += counts["finished"].as_u64().unwrap() as usize;
+        }
+        (finished >= WARM_UP).then_some(())
+    })
+    .await;
+    load.finish().await;
+}
+
+// Guards against retries that multiply along a chain, at each hop and with each resend of the client.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn attempts_deep_failure() {
+    let fleet = start_mesh(&chain());
+    warm_up(&fleet).await;
+    // Each hop loses the answer of the next one, so each hop has a reason to retry.
+    cut_answers(&fleet, &["second", "third", "fourth"]).await;
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut sent = Vec::new();
+    for _ in 0..FAILING {
+        let call = ClientCall::get(fleet.endpoints[0].entry, "/first/read", &mut rng);
+        for _ in 0..=RESENDS {
+            sent.push(call.clone().send().await);
+        }
+    }
+    wait_quiet(&fleet).await;
+    let executions = executions(&fleet);
+    let counts = count_requests(&executions);
+    let runs: Vec<usize> = sent
+        .iter()
+        .step_by(RESENDS + 1)
+        .map(|call| counts.get(call.call.id.as_str()).copied().unwrap_or(0))
+        .collect();
+    eprintln!("executions per request: {runs:?}; {:?}", tally(&sent));
+    assert!(runs.iter().all(|count| *count <= ATTEMPTS), "{runs:?}");
+    // Without retries or resends a request would run at most once at each of four services.
+    assert!(runs.iter().any(|count| *count > 4), "nothing was retried: {runs:?}");
+    assert!(sent.iter().all(|call| call.outcome() != ""), "{:?}", tally(&sent));
+}
--- /dev/null
+++ b/tests/mesh/edits.rs
@@ -0,0 +1,240 @@
+//! Requirement 8: accepted edits come into force at every node within seconds and never revert.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use ebonyjunction::control_client::ControlClient;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::task::JoinHandle;
+
+use super::fixture::{
+    apply_version, control_client, grants_of, leader_position, plans, poll, service,
+};
+use super::load::ClientCall;
+use crate::fault_proxy::{FaultProxy, ProxyFaults};
+use crate::fleet::Fleet;
+
+/// Time in which a change must be in force everywhere, from the design size.
+const IN_FORCE: Duration = Duration::from_secs(17);
+const PROBE_PAUSE: Duration = Duration::from_millis(15);
+const ENDPOINTS: usize = 3;
+
+/// Asks one entry again and again which version of the lists it serves.
+#[derive(Debug)]
+pub(crate) struct VersionProbe {
+    seen: Arc<AtomicU64>,
+    is_over: Arc<AtomicBool>,
+    task: JoinHandle<()>,
+}
+
+async fn verdict_of(entry: SocketAddr, version: u64, rng: &mut SmallRng) -> String {
+    let call = ClientCall::get(entry, &format!("/first/v{version}/x"), rng);
+    call.send().await.verdict()
+}
+
+/// Follows the versions. Only the grant of the version in force lets a request pass.
+async fn follow(entry: SocketAddr, newest: &AtomicU64, seen: &AtomicU64, rng: &mut SmallRng) {
+    let known = seen.load(Ordering::SeqCst);
+    let newest = newest.load(Ordering::SeqCst);
+    if known > 1 {
+        let verdict = verdict_of(entry, known - 1, rng).await;
+        assert_ne!(verdict, "200 ran", "{entry} went back from version {known}");
+    }
+    for version in (known..=newest).rev().take(3) {
+        if verdict_of(entry, version, rng).await == "200 ran" {
+            seen.store(version.max(known), Ordering::SeqCst);
+            return;
+        }
+    }
+}
+
+impl VersionProbe {
+    /// `newest` is the newest version that an edit was sent for.
+    pub(crate) fn start(entry: SocketAddr, newest: &Arc<AtomicU64>) -> Self {
+        let (seen, is_over) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
+        let (its_seen, its_end, newest) = (Arc::clone(&seen), Arc::clone(&is_over), Arc::clone(newest));
+        let task = tokio::spawn(async move {
+            let mut rng = SmallRng::seed_from_u64(u64::from(entry.port()));
+            while !its_end.load(Ordering::SeqCst) {
+                follow(entry, &newest, &its_seen, &mut rng).await;
+                tokio::time::sleep(PROBE_PAUSE).await;
+            }
+        });
+        Self { seen, is_over, task }
+    }
+
+    pub(crate) fn seen(&self) -> u64 {
+        self.seen.load(Ordering::SeqCst)
+    }
+
+    pub(crate) async fn finish(self) {
+        self.is_over.store(true, Ordering::SeqCst);
+        self.task.await.expect("versions never go back");
+    }
+}
+
+/// A mesh whose replicas are reached through proxies, with a probe at each node.
+struct EditedMesh {
+    fleet: Fleet,
+    proxies: Vec<FaultProxy>,
+    newest: Arc<AtomicU64>,
+    probes: Vec<VersionProbe>,
+    client: ControlClient,
+}
+
+impl EditedMesh {
+    fn start() -> Self {
+        let proxies: Vec<FaultProxy> = (0..3).map(|_| FaultProxy::start()).collect();
+        let advertise = |listen: &[SocketAddr]| {
+            for (proxy, address) in proxies.iter().zip(listen) {
+                proxy.set_target(*address);
+            }
+            proxies.iter().map(|proxy| proxy.address).collect()
+        };
+        let services = [service("first", ENDPOINTS, 30, 1)];
+        let fleet = Fleet::start_behind(advertise, &services, &plans(), &grants_of(1));
+        let newest = Arc::new(AtomicU64::new(1));
+        let probe = |endpoint: &crate::fleet::Endpoint| VersionProbe::start(endpoint.entry, &newest);
+        let probes = fleet.endpoints.iter().map(probe).collect();
+        let client = control_client(&fleet);
+        Self {
+            fleet,
+            proxies,
+            newest,
+            probes,
+            client,
+        }
+    }
+
+    /// Makes one accepted edit.
+    async fn edit(&self) {
+        let base = self.newest.fetch_add(1, Ordering::SeqCst);
+        let id = uuid::Uuid::new_v4().to_string();
+        let reply = apply_version(&self.client, &id, base).await;
+        assert_eq!((reply.accepted, reply.version), (true, base + 1));
+    }
+
+    /// Waits until the newest version is in force at every node, and checks the time.
+    async fn check_in_force(&self, what: &str) {
+        let (start, newest) = (Instant::now(), self.newest.load(Ordering::SeqCst));
+        poll(what, async || {
+            let is_in_force = self.probes.iter().all(|probe| probe.seen() == newest);
+            let is_broken = self.probes.iter().any(|probe| probe.task.is_finished());
+            assert!(!is_broken, "{what}: a node went back");
+            is_in_force.then_some(())
+        })
+        .await;
+        eprintln!("{what}: version {newest} in force everywhere after {:?}", start.elapsed());
+        assert!(start.elapsed() < IN_FORCE, "{what}: {:?}", start.elapsed());
+    }
+
+    /// Holds all traffic of a replica back without closing a connection.
+    fn isolate(&self, position: usize) {
+        let process = self.fleet.control.replicas[position].as_ref().unwrap().id();
+        for (other, proxy) in self.proxies.iter().enumerate() {
+            proxy.set_faults(|faults| {
+                faults.is_cut = other == position;
+                faults.cut_processes.insert(process);
+            });
+        }
+    }
+
+    fn rejoin(&self) {
+        for proxy in &self.proxies {
+            proxy.set_faults(|faults| *faults = ProxyFaults::default());
+        }
+    }
+
+    async fn finish(self) {
+        for probe in self.probes {
+            probe.finish().await;
+        }
+    }
+}
+
+// Guards against edits that do not reach nodes, or revert there, while a replica is silently isolated and when it
+// returns with an old log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn edits_isolated_replica() {
+    let mesh = EditedMesh::start();
+    mesh.check_in_force("first lists").await;
+    let leader = leader_position(&mesh.fleet).await;
+    for position in [leader, (leader + 1) % 3] {
+        mesh.isolate(position);
+        for _ in 0..3 {
+            mesh.edit().await;
+        }
+        mesh.check_in_force("edits during isolation").await;
+        mesh.rejoin();
+        mesh.edit().await;
+        mesh.check_in_force("edit after the return").await;
+    }
+    mesh.finish().await;
+}
+
+// Guards against accepted edits that are lost, or older lists that return, when a disk is wiped and another replica is
+// lost before the empty one has caught up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn edits_wiped_disk_then_loss() {
+    let mut mesh = EditedMesh::start();
+    for _ in 0..3 {
+        mesh.edit().await;
+    }
+    let control = &mut mesh.fleet.control;
+    control.kill_replica(0);
+    fs::remove_dir_all(control.data_folder(0)).unwrap();
+    control.start_replica(0);
+    control.kill_replica(1);
+    mesh.check_in_force("edits before the losses").await;
+    // The empty replica must not vote: the two of them could otherwise accept an edit of an old version.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    mesh.fleet.control.start_replica(1);
+    mesh.edit().await;
+    mesh.check_in_force("edit after the repair").await;
+    mesh.fleet.control.kill_replica(2);
+    mesh.edit().await;
+    mesh.check_in_force("edit after another loss").await;
+    mesh.finish().await;
+}
+
+// Guards against a race of equal versions that two operators win, and against a loser's lists at any node, through a
+// partition that delays the answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn edits_race_and_restart() {
+    let mut mesh = EditedMesh::start();
+    for _ in 0..150 {
+        mesh.edit().await;
+    }
+    mesh.fleet.restart_node(0);
+    for _ in 0..150 {
+        mesh.edit().await;
+    }
+    mesh.fleet.restart_node(1);
+    mesh.check_in_force("300 edits and two restarts").await;
+    let base = mesh.newest.fetch_add(1, Ordering::SeqCst);
+    let racers = (0..4).map(|number| {
+        let client = control_client(&mesh.fleet);
+        let id = format!("race-{number}");
+        async move {
+            let first = apply_version(&client, &id, base).await;
+            let resent = apply_version(&client, &id, base).await;
+            assert_eq!(first.accepted, resent.accepted, "a resend got another result");
+            first.accepted
+        }
+    });
+    let leader = leader_position(&mesh.fleet).await;
+    mesh.proxies[leader].set_faults(|faults| faults.holds_answers = true);
+    let racers = futures_util::future::join_all(racers);
+    let lost_answers = async {
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        mesh.rejoin();
+    };
+    let (accepted, ()) = tokio::join!(racers, lost_answers);
+    assert_eq!(accepted.iter().filter(|it| **it).count(), 1, "{accepted:?}");
+    mesh.check_in_force("the winner of the race").await;
+    mesh.finish().await;
+}
--- /dev/null
+++ b/tests/mesh/fixture.rs
@@ -0,0 +1,227 @@
+//! Lists, meshes and counts of executions.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use ebonyjunction::config::MeshToken;
+use ebonyjunction::control_client::ControlClient;
+use ebonyjunction::generated::{ApplyReply, ApplyRequest, PlanSet};
+use ebonyjunction::plans::{ListFiles, read_lists};
+use sha2::{Digest, Sha256};
+
+use crate::client::counts;
+use crate::fleet::{CREDENTIAL, Fleet, MESH_TOKEN, PATIENCE, ServiceSpec};
+
+/// Attempts that one request of the client may spend over its whole chain.
+pub(crate) const ATTEMPTS: usize = 6;
+/// Time in which work that is still on its way would have reached a target.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+
+const SERVICE_PLANS: &str = r#"
+[[plan]]
+name = "service"
+rate_per_s = 0
+
+[[caller]]
+name = "first"
+plan = "service"
+service = "first"
+
+[[caller]]
+name = "second"
+plan = "service"
+service = "second"
+
+[[caller]]
+name = "third"
+plan = "service"
+service = "third"
+"#;
+
+const GRANTS: &str = r#"
+[[grant]]
+plan = "client"
+service = "first"
+path_prefix = "/read"
+class = "read"
+deadline_ms = 5000
+
+[[grant]]
+plan = "client"
+service = "first"
+path_prefix = "/confirm"
+class = "critical"
+deadline_ms = 20000
+
+[[grant]]
+plan = "client"
+service = "first"
+path_prefix = "/pay"
+class = "critical"
+at_most_once = true
+deadline_ms = 5000
+
+[[grant]]
+plan = "service"
+service = "second"
+path_prefix = "/"
+class = "read"
+
+[[grant]]
+plan = "service"
+service = "third"
+path_prefix = "/"
+class = "read"
+
+[[grant]]
+plan = "service"
+service = "fourth"
+path_prefix = "/"
+class = "read"
+"#;
+
+pub(crate) fn hex_digest(bytes: &[u8]) -> String {
+    let digest = Sha256::digest(bytes);
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+pub(crate) fn plans() -> String {
+    let digest = hex_digest(CREDENTIAL.as_bytes());
+    format!(
+        "[[plan]]\nname = \"client\"\nrate_per_s = 0\nattempts = {ATTEMPTS}\n\
+         [[caller]]\nname = \"client\"\nplan = \"client\"\ncredential_sha256 = \"{digest}\"\n{SERVICE_PLANS}"
+    )
+}
+
+/// Returns the grants with one more, which names the version of the lists in its path.
+pub(crate) fn grants_of(version: u64) -> String {
+    format!(
+        "{GRANTS}\n[[grant]]\nplan = \"client\"\nservice = \"first\"\npath_prefix = \"/v{version}\"\nclass = \"read\"\n"
+    )
+}
+
+pub(crate) fn service(
+    name: &'static str,
+    endpoints: usize,
+    slots: u32,
+    milliseconds: u64,
+) -> ServiceSpec {
+    ServiceSpec {
+        name,
+        endpoints,
+        slots,
+        service_time: Duration::from_millis(milliseconds),
+        downstream: None,
+    }
+}
+
+pub(crate) fn start_mesh(services: &[ServiceSpec]) -> Fleet {
+    Fleet::start(services, &plans(), &grants_of(1))
+}
+
+pub(crate) fn control_client(fleet: &Fleet) -> ControlClient {
+    let token = MeshToken::try_from(MESH_TOKEN).unwrap();
+    ControlClient::new(fleet.control.addresses.clone(), token)
+}
+
+/// Polls with the bound of the fleet.
+pub(crate) async fn poll<T>(what: &str, mut check: impl AsyncFnMut() -> Option<T>) -> T {
+    let start = std::time::Instant::now();
+    loop {
+        if let Some(value) = check().await {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "timed out waiting for {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Returns the position of the replica that leads.
+pub(crate) async fn leader_position(fleet: &Fleet) -> usize {
+    let client = control_client(fleet);
+    poll("a leader", async || {
+        let status = client.status().await.ok()?;
+        (status.leader_id as usize).checked_sub(1)
+    })
+    .await
+}
+
+/// Puts the lists of a version in force that follows the base, and resends until the result is known.
+pub(crate) async fn apply_version(client: &ControlClient, change_id: &str, base: u64) -> ApplyReply {
+    poll("the result of a change", async || {
+        let request = ApplyRequest {
+            change_id: change_id.to_owned(),
+            base_version: base,
+            plans: Some(plan_set(base + 1)),
+            relayed: false,
+        };
+        client.apply_plans(request).await.ok()
+    })
+    .await
+}
+
+fn plan_set(version: u64) -> PlanSet {
+    let (plans, grants) = (plans(), grants_of(version));
+    let files = ListFiles {
+        plans_file: "plans.toml",
+        plans_text: &plans,
+        grants_file: "grants.toml",
+        grants_text: &grants,
+    };
+    PlanSet::from(&read_lists(files).unwrap())
+}
+
+pub(crate) fn now_ms() -> u128 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap().as_millis()
+}
+
+/// One execution at a target.
+#[derive(Debug, Clone)]
+pub(crate) struct Execution {
+    pub(crate) position: usize,
+    pub(crate) at_ms: u128,
+    pub(crate) request_id: String,
+    pub(crate) key: String,
+}
+
+/// Reads all executions so far from the journals, which outlive killed targets.
+pub(crate) fn executions(fleet: &Fleet) -> Vec<Execution> {
+    let mut found = Vec::new();
+    for position in 0..fleet.endpoints.len() {
+        let path = fleet.folder.path().join(format!("target-{position}.journal"));
+        let text = fs::read_to_string(path).unwrap_or_default();
+        for line in text.lines() {
+            let words: Vec<&str> = line.split(' ').collect();
+            found.push(Execution {
+                position,
+                at_ms: words[0].parse().unwrap(),
+                request_id: words[1].to_owned(),
+                key: words[2].to_owned(),
+            });
+        }
+    }
+    found
+}
+
+/// Counts executions by request id.
+pub(crate) fn count_requests(executions: &[Execution]) -> BTreeMap<&str, usize> {
+    let mut counts = BTreeMap::new();
+    for execution in executions {
+        *counts.entry(execution.request_id.as_str()).or_insert(0) += 1;
+    }
+    counts
+}
+
+/// Waits until no target works any more and late copies have had time to arrive.
+pub(crate) async fn wait_quiet(fleet: &Fleet) {
+    for endpoint in &fleet.endpoints {
+        poll("an idle target", async || {
+            let counts = counts(endpoint.target_address).await;
+            (counts["in_flight"] == 0).then_some(())
+        })
+        .await;
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+}
--- /dev/null
+++ b/tests/mesh/random_steps.rs
@@ -0,0 +1,1 @@
+//! Random steps of clients, operators and failures against a simple oracle.
--- /dev/null
+++ b/tests/mesh/stops.rs
@@ -0,0 +1,115 @@
+//! Requirements 6 and 7: leaving targets get no new work, and stops are graceful.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::task::JoinHandle;
+
+use super::fixture::{executions, leader_position, now_ms, poll, service, start_mesh};
+use super::load::{ClientCall, ClientLoad, SentCall, tally};
+use crate::fleet::Fleet;
+
+const SENDERS: u64 = 8;
+/// Time after which a leaving target must not begin new work.
+const LAST_NEW_WORK_MS: u128 = 2_000;
+/// Keeps the leaving target alive for longer than that.
+const HELD_MS: u64 = 4_000;
+const PAUSE: Duration = Duration::from_millis(500);
+
+fn start_load(entries: Vec<SocketAddr>) -> ClientLoad {
+    ClientLoad::start(SENDERS, 6, move |rng| {
+        let entry = entries[rng.random_range(0..entries.len())];
+        ClientCall::get(entry, "/first/read", rng)
+    })
+}
+
+/// Sends a request that one target holds, and waits until it runs.
+async fn hold(fleet: &Fleet, position: usize, seed: u64) -> JoinHandle<SentCall> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let path = format!("/first/read?service_ms={HELD_MS}");
+    poll("a held request", async || {
+        let call = ClientCall::get(fleet.endpoints[position].entry, &path, &mut rng);
+        let id = call.id.clone();
+        let held = tokio::spawn(call.send());
+        let runner = poll("a target", async || {
+            let executions = executions(fleet);
+            let found = executions.into_iter().find(|it| it.request_id == id);
+            found.map(|it| it.position)
+        })
+        .await;
+        (runner == position).then_some(held)
+    })
+    .await
+}
+
+// Guards against work that still begins at a target two seconds after it, or its node, was told to leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_leaving_target() {
+    let mut fleet = start_mesh(&[service("first", 4, 30, 3)]);
+    let load = start_load(fleet.endpoints[2..].iter().map(|it| it.entry).collect());
+    let held = [hold(&fleet, 0, 61).await, hold(&fleet, 1, 62).await];
+    let told_ms = now_ms();
+    fleet.endpoints[0].target.signal("-TERM");
+    fleet.endpoints[1].node.signal("-TERM");
+    for held in held {
+        assert_eq!(held.await.unwrap().verdict(), "200 ran");
+    }
+    assert!(now_ms() > told_ms + LAST_NEW_WORK_MS, "the targets ended too early");
+    assert_eq!(fleet.endpoints[0].target.wait_exit(), Some(0));
+    assert_eq!(fleet.endpoints[1].node.wait_exit(), Some(0));
+    let sent = load.finish().await;
+    let executions = executions(&fleet);
+    let late: Vec<_> = executions
+        .iter()
+        .filter(|it| it.position < 2 && it.at_ms > told_ms + LAST_NEW_WORK_MS)
+        .collect();
+    assert!(late.is_empty(), "{late:?}");
+    let last = executions.iter().filter(|it| it.position < 2).map(|it| it.at_ms).max();
+    let last = last.unwrap().saturating_sub(told_ms);
+    eprintln!("last new work after {last} ms: {:?}", tally(&sent));
+    let count = |position| executions.iter().filter(|it| it.position == position).count();
+    assert!(count(0) > 1 && count(1) > 1, "no load at the leaving targets");
+    let unanswered: Vec<_> = sent.iter().filter(|it| !matches!(it.outcome(), "ran" | "not-run")).collect();
+    assert!(unanswered.is_empty(), "{unanswered:?}");
+}
+
+// Guards against a stop of any process that loses a request in flight, or that is a crash.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_every_program() {
+    let mut fleet = start_mesh(&[service("first", 3, 30, 3)]);
+    let load = start_load(vec![fleet.endpoints[2].entry]);
+    let keys = ClientLoad::start(2, 7, {
+        let entry = fleet.endpoints[2].entry;
+        move |rng| ClientCall::payment(entry, &uuid::Uuid::now_v7().to_string(), rng)
+    });
+    let through_node = hold(&fleet, 0, 71).await;
+    let at_target = hold(&fleet, 1, 72).await;
+    let leader = leader_position(&fleet).await;
+    let replica = fleet.control.replicas[leader].as_mut().unwrap();
+    replica.signal("-TERM");
+    fleet.endpoints[0].node.signal("-TERM");
+    fleet.endpoints[1].target.signal("-TERM");
+    assert_eq!(replica.wait_exit(), Some(0));
+    assert_eq!(through_node.await.unwrap().verdict(), "200 ran");
+    assert_eq!(at_target.await.unwrap().verdict(), "200 ran");
+    assert_eq!(fleet.endpoints[0].node.wait_exit(), Some(0));
+    assert_eq!(fleet.endpoints[1].target.wait_exit(), Some(0));
+    assert_eq!(fleet.endpoints[0].target.stop(), Some(0));
+    tokio::time::sleep(PAUSE).await;
+    let sent = [load.finish().await, keys.finish().await];
+    for sent in &sent {
+        eprintln!("{:?}", tally(sent));
+        let is_lost = |it: &&SentCall| !matches!(it.outcome(), "ran" | "not-run");
+        let lost: Vec<_> = sent.iter().filter(is_lost).collect();
+        assert!(lost.is_empty(), "{lost:?}");
+    }
+    let counts = tally(&sent[0]);
+    assert!(counts["200 ran"] >= 50, "{counts:?}");
+    for position in (0..3).filter(|it| *it != leader) {
+        assert_eq!(fleet.control.replicas[position].as_mut().unwrap().stop(), Some(0));
+    }
+    assert_eq!(fleet.endpoints[2].node.stop(), Some(0));
+    assert_eq!(fleet.endpoints[2].target.stop(), Some(0));
+}
