--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -200,6 +200,24 @@
     }
 }
 
+impl Drop for ControlFleet {
+    fn drop(&mut self) {
+        const SHOWN_LINES: usize = 30;
+        if !std::thread::panicking() {
+            return;
+        }
+        for position in 0..self.replicas.len() {
+            let path = self.folder.join(format!("control-{position}.log"));
+            let text = fs::read_to_string(path).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().rev().take(SHOWN_LINES).collect();
+            eprintln!(
+                "end of the log of replica {position}, latest line first:\n{}",
+                lines.join("\n")
+            );
+        }
+    }
+}
+
 fn settings_flags(path: &Path) -> Vec<String> {
     vec!["--settings".to_owned(), path.display().to_string()]
 }
