--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -208,7 +208,7 @@
         }
         for position in 0..self.replicas.len() {
             let path = self.folder.join(format!("control-{position}.log"));
-            let text = fs::read_to_string(path).unwrap_or_default();
+            let text = fs::read_to_string(path).unwrap_or_else(|error| error.to_string());
             let lines: Vec<&str> = text.lines().rev().take(SHOWN_LINES).collect();
             eprintln!(
                 "end of the log of replica {position}, latest line first:\n{}",
@@ -294,7 +294,10 @@
         // FLEET_KEEP=1 keeps settings and logs for a look after the run.
         let is_kept = std::env::var_os("FLEET_KEEP").is_some();
         let mut builder = tempfile::Builder::new();
-        let folder = builder.prefix("fleet-").disable_cleanup(is_kept).tempdir();
+        let folder = builder
+            .prefix("fleet-")
+            .disable_cleanup(is_kept)
+            .tempdir_in(env!("CARGO_TARGET_TMPDIR"));
         let folder = folder.expect("temporary folder");
         let ip = fleet_ip();
         let endpoints: usize = services.iter().map(|service| service.endpoints).sum();
--- a/tests/support/fault_proxy.rs
+++ b/tests/support/fault_proxy.rs
@@ -85,7 +85,7 @@
     let Ok(server) = TcpStream::connect(target) else {
         return;
     };
-    let Ok(peer) = client.peer_addr() else {
+    let (Ok(peer), Ok(own)) = (client.peer_addr(), client.local_addr()) else {
         return;
     };
     for (from, to, direction) in [
@@ -96,7 +96,7 @@
             return;
         };
         let state = Arc::clone(state);
-        thread::spawn(move || copy(from, to, direction, SenderSocket::new(peer), &state));
+        thread::spawn(move || copy(from, to, direction, SenderSocket::new(peer, own), &state));
     }
 }
 
@@ -149,12 +149,17 @@
 #[derive(Debug)]
 struct SenderSocket {
     peer: SocketAddr,
+    own: SocketAddr,
     link: Option<String>,
 }
 
 impl SenderSocket {
-    fn new(peer: SocketAddr) -> Self {
-        Self { peer, link: None }
+    fn new(peer: SocketAddr, own: SocketAddr) -> Self {
+        Self {
+            peer,
+            own,
+            link: None,
+        }
     }
 
     /// Looks the socket up only when a fault names processes: the socket table of a busy machine has many rows.
@@ -163,17 +168,18 @@
             return false;
         }
         if self.link.is_none() {
-            self.link = find_socket(self.peer);
+            self.link = find_socket(self.peer, self.own);
         }
+        // Data of an unknown sender waits: passing it on would end an isolation unnoticed.
         let link = self.link.as_deref();
-        link.is_some_and(|link| processes.iter().any(|it| holds_socket(*it, link)))
+        link.is_none_or(|link| processes.iter().any(|it| holds_socket(*it, link)))
     }
 }
 
-fn find_socket(peer: SocketAddr) -> Option<String> {
+fn find_socket(peer: SocketAddr, own: SocketAddr) -> Option<String> {
     // The socket table is not read at one moment and may lack a row, so it is read again if needed.
     (0..LOOKUPS).find_map(|_| {
-        let socket = socket_of(peer);
+        let socket = socket_of(peer, own);
         if socket.is_none() {
             thread::sleep(HOLD_POLL);
         }
@@ -191,10 +197,15 @@
     links.any(|link| link.to_str() == Some(socket))
 }
 
-fn socket_of(peer: SocketAddr) -> Option<String> {
-    let local = format!("0100007F:{:04X}", peer.port());
+// Connections to other peers may have the same local port, and a closed one has no inode.
+fn socket_of(peer: SocketAddr, own: SocketAddr) -> Option<String> {
+    let ends = [peer, own].map(|end| format!("0100007F:{:04X}", end.port()));
     let sockets = File::open("/proc/net/tcp").ok()?;
     let mut lines = BufReader::new(sockets).lines().map_while(Result::ok);
-    let row = lines.find(|line| line.split_whitespace().nth(1) == Some(&local))?;
-    Some(format!("socket:[{}]", row.split_whitespace().nth(9)?))
+    lines.find_map(|line| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let is_sender = words.get(1..3)? == ends;
+        let inode = words.get(9).filter(|inode| **inode != "0")?;
+        is_sender.then(|| format!("socket:[{inode}]"))
+    })
 }
