--- /dev/null
+++ b/benches/plan_propagation/main.rs
@@ -0,0 +1,297 @@
+//! Time until changes hold everywhere, control bytes of a node, and the end of work at a leaving target.
+
+#[path = "../../examples/capacity_slopes/announcers.rs"]
+#[expect(dead_code, reason = "the slopes use more of the announcers")]
+mod announcers;
+#[path = "../../tests/fleet/mod.rs"]
+mod fleet;
+mod leaving;
+#[path = "../../examples/capacity_slopes/relay.rs"]
+mod relay;
+
+use std::fs;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use ebonyjunction::config::MeshToken;
+use ebonyjunction::control_client::{ControlClient, MESH_TOKEN_KEY};
+use ebonyjunction::generated::operator_client::OperatorClient;
+use ebonyjunction::generated::{
+    ApplyRequest, CallerRow, GrantRow, PlanRow, PlanSet, PriorityClass, StatusRequest,
+};
+use sha2::{Digest, Sha256};
+use tokio::task::block_in_place;
+
+use announcers::start_announcers;
+use fleet::{CREDENTIAL, Fleet, MESH_TOKEN, Process, ServiceSpec, start_node, start_target};
+use leaving::{bench_client, call_entry, measure_leaving};
+use relay::CountingRelay;
+
+const NODES: usize = 6;
+const EDITS: usize = 60;
+const CATCH_UP_EDITS: usize = 500;
+const ENDPOINTS: usize = 580;
+const BYTES_WINDOW: Duration = Duration::from_secs(20);
+const SETTLE: Duration = Duration::from_secs(6);
+const POLL_PAUSE: Duration = Duration::from_millis(10);
+/// Credential of the caller that every second edit removes.
+const PROBE_CREDENTIAL: &str = "probe-credential-0123456789";
+const STATUS_UNKNOWN_CALLER: u16 = 401;
+const BOUND: Duration = Duration::from_secs(30);
+
+const PLANS: &str = "[[plan]]\nname = \"client\"\nrate_per_s = 0\n\
+    [[caller]]\nname = \"client\"\nplan = \"client\"\ncredential_sha256 = \"@DIGEST@\"\n";
+const GRANTS: &str = "[[grant]]\nplan = \"client\"\nservice = \"orders\"\npath_prefix = \"/\"\n\
+    class = \"read\"\ndeadline_ms = 1000\n";
+
+fn orders(endpoints: usize) -> ServiceSpec {
+    ServiceSpec {
+        name: "orders",
+        endpoints,
+        slots: 35,
+        service_time: Duration::from_millis(1),
+        downstream: None,
+    }
+}
+
+fn main() {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        print_load("start");
+        let mut mesh = BenchMesh::start().await;
+        mesh.measure_in_force().await;
+        mesh.measure_bytes("control_bytes_per_node_s").await;
+        mesh.measure_leaving().await;
+        mesh.measure_catch_up().await;
+        let announcers = start_announcers(ENDPOINTS - NODES, &mesh.control_addresses(), MESH_TOKEN);
+        mesh.measure_bytes("control_bytes_per_node_s_580").await;
+        drop(announcers);
+        print_load("end");
+    });
+}
+
+fn print_load(when: &str) {
+    let load = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    println!("load_{when}={}", load.split(' ').next().unwrap_or(""));
+}
+
+/// Mesh in which one more node reaches its replicas through counting relays.
+#[derive(Debug)]
+struct BenchMesh {
+    fleet: Fleet,
+    relays: Vec<CountingRelay>,
+    client: ControlClient,
+    node: Process,
+    _target: Process,
+    version: u64,
+    edits: u32,
+}
+
+impl BenchMesh {
+    async fn start() -> Self {
+        let plans = PLANS.replace("@DIGEST@", &hex(&digest(CREDENTIAL)));
+        let fleet = block_in_place(|| Fleet::start(&[orders(NODES - 1)], &plans, GRANTS));
+        let mut relays = Vec::new();
+        for address in &fleet.control.addresses {
+            relays.push(CountingRelay::start(*address).await);
+        }
+        let addresses: Vec<SocketAddr> = relays.iter().map(|relay| relay.address).collect();
+        let folder = fleet.folder.path();
+        let node = start_node(folder, NODES, "zone-a", &addresses);
+        let local = block_in_place(|| node.listening("listener=local"));
+        let target = start_target(&orders(1), local, folder.join("target-counted.log"));
+        let token = MeshToken::try_from(MESH_TOKEN).expect("valid token");
+        let client = ControlClient::new(fleet.control.addresses.clone(), token);
+        let shown = client.show_plans().await.expect("the lists");
+        tokio::time::sleep(SETTLE).await;
+        Self {
+            fleet,
+            relays,
+            client,
+            node,
+            _target: target,
+            version: shown.plans.map_or(0, |plans| plans.version),
+            edits: 0,
+        }
+    }
+
+    fn control_addresses(&self) -> Vec<SocketAddr> {
+        self.fleet.control.addresses.clone()
+    }
+
+    fn entries(&self) -> Vec<SocketAddr> {
+        let own = block_in_place(|| self.node.listening("listener=entry"));
+        let endpoints = self.fleet.endpoints.iter();
+        endpoints
+            .map(|endpoint| endpoint.entry)
+            .chain([own])
+            .collect()
+    }
+
+    /// Applies the next change; odd ones add the probe caller, even ones remove it.
+    async fn edit(&mut self) -> bool {
+        self.edits += 1;
+        let has_probe = !self.edits.is_multiple_of(2);
+        let request = ApplyRequest {
+            change_id: uuid::Uuid::new_v4().to_string(),
+            base_version: self.version,
+            plans: Some(lists(has_probe, self.edits)),
+            relayed: false,
+        };
+        let reply = self.client.apply_plans(request).await.expect("an answer");
+        assert!(reply.accepted, "{:?}", reply.findings);
+        self.version = reply.version;
+        has_probe
+    }
+
+    /// The version is in force at a node when its entry listener knows or refuses the probe caller accordingly.
+    async fn measure_in_force(&mut self) {
+        let entries = self.entries();
+        let mut times = Vec::new();
+        for _ in 0..EDITS {
+            let has_probe = self.edit().await;
+            let start = Instant::now();
+            let waits = entries
+                .iter()
+                .map(|entry| tokio::spawn(wait_in_force(*entry, has_probe, start)));
+            for wait in waits.collect::<Vec<_>>() {
+                times.push(wait.await.expect("the node answers"));
+            }
+            // Edits come at any moment of the heartbeat period.
+            let pause = rand::random_range(0..500);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        times.sort();
+        let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize].as_secs_f64();
+        println!("in_force_edits={EDITS} nodes={}", entries.len());
+        println!("in_force_p50_s={:.3}", at(0.5));
+        println!("in_force_p99_s={:.3}", at(0.99));
+        println!("in_force_max_s={:.3}", at(1.0));
+    }
+
+    async fn measure_bytes(&self, name: &str) {
+        tokio::time::sleep(SETTLE).await;
+        let total = || self.relays.iter().map(CountingRelay::bytes).sum::<u64>();
+        let (before, cpu) = (total(), self.node.cpu_time());
+        tokio::time::sleep(BYTES_WINDOW).await;
+        let seconds = BYTES_WINDOW.as_secs_f64();
+        let cpu = self.node.cpu_time().saturating_sub(cpu).as_secs_f64() / seconds;
+        println!("{name}={:.0}", (total() - before) as f64 / seconds);
+        println!("{name}_node_core_percent={:.2}", 100.0 * cpu);
+        println!("{name}_node_rss_kib={}", self.node.rss_kib());
+    }
+
+    async fn measure_leaving(&mut self) {
+        let local = {
+            let folder = self.fleet.folder.path();
+            let node = start_node(folder, NODES + 1, "zone-a", &self.control_addresses());
+            let local = block_in_place(|| node.listening("listener=local"));
+            (node, local)
+        };
+        let result = measure_leaving(local.1, &self.entries()).await;
+        let seconds = result.last_new_work.as_secs_f64();
+        println!("leaving_target_last_new_work_s={seconds:.3}");
+        println!("leaving_executions_before={}", result.executions_before);
+        println!("leaving_executions_after={}", result.executions_after);
+    }
+
+    async fn measure_catch_up(&mut self) {
+        self.fleet.control.kill_replica(0);
+        self.node.kill();
+        let mut has_probe = false;
+        for _ in 0..CATCH_UP_EDITS {
+            has_probe = self.edit().await;
+        }
+        let start = Instant::now();
+        self.fleet.control.start_replica(0);
+        let addresses: Vec<SocketAddr> = self.relays.iter().map(|relay| relay.address).collect();
+        self.node = start_node(self.fleet.folder.path(), NODES, "zone-a", &addresses);
+        let entry = block_in_place(|| self.node.listening("listener=entry"));
+        let replica_time = wait_replica(self.control_addresses()[0], self.version, start);
+        let node_time = wait_in_force(entry, has_probe, start);
+        let (replica_time, node_time) = tokio::join!(replica_time, node_time);
+        println!("catch_up_replica_s={:.3}", replica_time.as_secs_f64());
+        println!("catch_up_node_s={:.3}", node_time.as_secs_f64());
+        println!(
+            "catch_up_500_changes_s={:.3}",
+            replica_time.max(node_time).as_secs_f64()
+        );
+    }
+}
+
+async fn wait_in_force(entry: SocketAddr, has_probe: bool, start: Instant) -> Duration {
+    let client = bench_client();
+    while start.elapsed() < BOUND {
+        let status = call_entry(&client, entry, "/orders/probe", PROBE_CREDENTIAL).await;
+        let is_known = status.map(|status| status != STATUS_UNKNOWN_CALLER);
+        // 503 means that a starting node holds no plans yet.
+        if is_known == Some(has_probe) && status != Some(503) {
+            return start.elapsed();
+        }
+        tokio::time::sleep(POLL_PAUSE).await;
+    }
+    panic!("the version is not in force at {entry} within {BOUND:?}");
+}
+
+/// Asks one replica for the version that it has applied itself; a status that is marked as relayed goes no further.
+async fn wait_replica(replica: SocketAddr, version: u64, start: Instant) -> Duration {
+    while start.elapsed() < BOUND {
+        if applied_version(replica).await >= Some(version) {
+            return start.elapsed();
+        }
+        tokio::time::sleep(POLL_PAUSE).await;
+    }
+    panic!("the replica does not reach version {version} within {BOUND:?}");
+}
+
+async fn applied_version(replica: SocketAddr) -> Option<u64> {
+    let client = OperatorClient::connect(format!("http://{replica}")).await;
+    let mut request = tonic::Request::new(StatusRequest { relayed: true });
+    let token = MESH_TOKEN.parse().ok()?;
+    request.metadata_mut().insert(MESH_TOKEN_KEY, token);
+    let reply = client.ok()?.status(request).await.ok()?;
+    Some(reply.into_inner().plan_version)
+}
+
+fn digest(text: &str) -> Vec<u8> {
+    Sha256::digest(text.as_bytes()).to_vec()
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes
+        .iter()
+        .fold(String::new(), |hex, byte| hex + &format!("{byte:02x}"))
+}
+
+fn lists(has_probe: bool, burst: u32) -> PlanSet {
+    let caller = |name: &str, plan: &str, credential| CallerRow {
+        name: name.to_owned(),
+        plan: plan.to_owned(),
+        credential_sha256: digest(credential).into(),
+        service: String::new(),
+    };
+    let plan = |name: &str| PlanRow {
+        name: name.to_owned(),
+        rate_per_s: 0,
+        burst,
+        attempts: 32,
+    };
+    let mut callers = vec![caller("client", "client", CREDENTIAL)];
+    if has_probe {
+        callers.push(caller("probe", "probe", PROBE_CREDENTIAL));
+    }
+    let grant = GrantRow {
+        plan: "client".to_owned(),
+        service: "orders".to_owned(),
+        path_prefix: "/".to_owned(),
+        priority_class: PriorityClass::Read.into(),
+        at_most_once: false,
+        deadline_ms: 1_000,
+    };
+    PlanSet {
+        version: 0,
+        plans: vec![plan("client"), plan("probe")],
+        callers,
+        grants: vec![grant],
+    }
+}
