--- a/benches/plan_propagation/main.rs
+++ b/benches/plan_propagation/main.rs
@@ -37,6 +37,7 @@
 /// Credential of the caller that every second edit removes.
 const PROBE_CREDENTIAL: &str = "probe-credential-0123456789";
 const STATUS_UNKNOWN_CALLER: u16 = 401;
+const STATUS_NO_GRANT: u16 = 403;
 const BOUND: Duration = Duration::from_secs(30);
 
 const PLANS: &str = "[[plan]]\nname = \"client\"\nrate_per_s = 0\n\
@@ -128,10 +129,9 @@
             .collect()
     }
 
-    /// Applies the next change; odd ones add the probe caller, even ones remove it.
-    async fn edit(&mut self) -> bool {
+    /// Applies the next change, to lists with or without the probe caller.
+    async fn edit(&mut self, has_probe: bool) {
         self.edits += 1;
-        let has_probe = !self.edits.is_multiple_of(2);
         let request = ApplyRequest {
             change_id: uuid::Uuid::new_v4().to_string(),
             base_version: self.version,
@@ -141,15 +141,16 @@
         let reply = self.client.apply_plans(request).await.expect("an answer");
         assert!(reply.accepted, "{:?}", reply.findings);
         self.version = reply.version;
-        has_probe
     }
 
-    /// The version is in force at a node when its entry listener knows or refuses the probe caller accordingly.
+    /// The version is in force at a node when its entry listener answers the probe caller with 403 (no grant) instead of
+    /// 401 (unknown caller), or the other way round after its removal.
     async fn measure_in_force(&mut self) {
         let entries = self.entries();
         let mut times = Vec::new();
-        for _ in 0..EDITS {
-            let has_probe = self.edit().await;
+        for number in 0..EDITS {
+            let has_probe = number.is_multiple_of(2);
+            self.edit(has_probe).await;
             let start = Instant::now();
             let waits = entries
                 .iter()
@@ -172,12 +173,16 @@
     async fn measure_bytes(&self, name: &str) {
         tokio::time::sleep(SETTLE).await;
         let total = || self.relays.iter().map(CountingRelay::bytes).sum::<u64>();
+        let updates = || self.node.log_text().matches("event=directory ").count();
         let (before, cpu) = (total(), self.node.cpu_time());
+        let updates_before = updates();
         tokio::time::sleep(BYTES_WINDOW).await;
         let seconds = BYTES_WINDOW.as_secs_f64();
         let cpu = self.node.cpu_time().saturating_sub(cpu).as_secs_f64() / seconds;
         println!("{name}={:.0}", (total() - before) as f64 / seconds);
         println!("{name}_node_core_percent={:.2}", 100.0 * cpu);
+        // A steady state has none; leases that end on a busy machine cause some.
+        println!("{name}_directory_updates={}", updates() - updates_before);
         println!("{name}_node_rss_kib={}", self.node.rss_kib());
     }
 
@@ -198,18 +203,20 @@
     async fn measure_catch_up(&mut self) {
         self.fleet.control.kill_replica(0);
         self.node.kill();
-        let mut has_probe = false;
-        for _ in 0..CATCH_UP_EDITS {
-            has_probe = self.edit().await;
+        // Only the last version has the probe caller, so knowing it proves that version.
+        for number in 1..=CATCH_UP_EDITS {
+            self.edit(number == CATCH_UP_EDITS).await;
         }
         let start = Instant::now();
         self.fleet.control.start_replica(0);
         let addresses: Vec<SocketAddr> = self.relays.iter().map(|relay| relay.address).collect();
         self.node = start_node(self.fleet.folder.path(), NODES, "zone-a", &addresses);
         let entry = block_in_place(|| self.node.listening("listener=entry"));
-        let replica_time = wait_replica(self.control_addresses()[0], self.version, start);
-        let node_time = wait_in_force(entry, has_probe, start);
-        let (replica_time, node_time) = tokio::join!(replica_time, node_time);
+        let replica = self.control_addresses()[0];
+        let replica_time = tokio::spawn(wait_replica(replica, self.version, start));
+        let node_time = tokio::spawn(wait_in_force(entry, true, start));
+        let replica_time = replica_time.await.expect("the replica answers");
+        let node_time = node_time.await.expect("the node answers");
         println!("catch_up_replica_s={:.3}", replica_time.as_secs_f64());
         println!("catch_up_node_s={:.3}", node_time.as_secs_f64());
         println!(
@@ -221,11 +228,15 @@
 
 async fn wait_in_force(entry: SocketAddr, has_probe: bool, start: Instant) -> Duration {
     let client = bench_client();
+    // The probe caller has no grant.
+    let wanted = if has_probe {
+        STATUS_NO_GRANT
+    } else {
+        STATUS_UNKNOWN_CALLER
+    };
     while start.elapsed() < BOUND {
         let status = call_entry(&client, entry, "/orders/probe", PROBE_CREDENTIAL).await;
-        let is_known = status.map(|status| status != STATUS_UNKNOWN_CALLER);
-        // 503 means that a starting node holds no plans yet.
-        if is_known == Some(has_probe) && status != Some(503) {
+        if status == Some(wanted) {
             return start.elapsed();
         }
         tokio::time::sleep(POLL_PAUSE).await;
@@ -235,8 +246,17 @@
 
 /// Asks one replica for the version that it has applied itself; a status that is marked as relayed goes no further.
 async fn wait_replica(replica: SocketAddr, version: u64, start: Instant) -> Duration {
+    let mut is_first = true;
     while start.elapsed() < BOUND {
-        if applied_version(replica).await >= Some(version) {
+        let applied = applied_version(replica).await;
+        if let Some(applied) = applied.filter(|_| is_first) {
+            is_first = false;
+            println!(
+                "catch_up_first_seen_behind={}",
+                version.saturating_sub(applied)
+            );
+        }
+        if applied >= Some(version) {
             return start.elapsed();
         }
         tokio::time::sleep(POLL_PAUSE).await;
--- a/examples/capacity_slopes/calls.rs
+++ b/examples/capacity_slopes/calls.rs
@@ -99,7 +99,8 @@
     answered.load(Ordering::Relaxed)
 }
 
-fn lists() -> ApplyRequest {
+/// Returns the first edit: one outside caller with a grant for the target of the slopes.
+pub(crate) fn lists() -> ApplyRequest {
     let name = "client".to_owned();
     let plan = PlanRow {
         name: name.clone(),
--- a/examples/capacity_slopes/directory.rs
+++ b/examples/capacity_slopes/directory.rs
@@ -7,8 +7,9 @@
 use bytes::Bytes;
 
 use crate::announcers::{Announcer, start_announcers};
+use crate::calls::lists;
 use crate::processes::{
-    ChildProcess, ReplicaChild, TOKEN, start_node, start_replicas, wait_leader,
+    ChildProcess, ReplicaChild, TOKEN, control_client, start_node, start_replicas, wait_leader,
 };
 use crate::relay::CountingRelay;
 use crate::{print_figure, print_load};
@@ -52,6 +53,9 @@
     async fn start(folder: &std::path::Path, size: usize) -> Self {
         let replicas = start_replicas(folder, 3).await;
         wait_leader(&replicas, None).await;
+        // A node without plans sends five heartbeats a second.
+        let reply = control_client(&replicas).apply_plans(lists()).await;
+        assert!(reply.expect("an answer").accepted);
         let mut node_relays = Vec::new();
         for replica in &replicas {
             node_relays.push(CountingRelay::start(replica.address).await);
