--- a/benches/plan_propagation/main.rs
+++ b/benches/plan_propagation/main.rs
@@ -23,7 +23,7 @@
 use tokio::task::block_in_place;
 
 use announcers::start_announcers;
-use fleet::{CREDENTIAL, Fleet, MESH_TOKEN, Process, ServiceSpec, start_node, start_target};
+use fleet::{CREDENTIAL, Fleet, MESH_TOKEN, Process, ServiceSpec, start_free_node, start_target};
 use leaving::{bench_client, call_entry, measure_leaving};
 use relay::CountingRelay;
 
@@ -98,7 +98,7 @@
         }
         let addresses: Vec<SocketAddr> = relays.iter().map(|relay| relay.address).collect();
         let folder = fleet.folder.path();
-        let node = start_node(folder, NODES, "zone-a", &addresses);
+        let node = start_free_node(folder, NODES, "zone-a", &addresses);
         let local = block_in_place(|| node.listening("listener=local"));
         let target = start_target(&orders(1), local, folder.join("target-counted.log"));
         let token = MeshToken::try_from(MESH_TOKEN).expect("valid token");
@@ -189,7 +189,7 @@
     async fn measure_leaving(&mut self) {
         let local = {
             let folder = self.fleet.folder.path();
-            let node = start_node(folder, NODES + 1, "zone-a", &self.control_addresses());
+            let node = start_free_node(folder, NODES + 1, "zone-a", &self.control_addresses());
             let local = block_in_place(|| node.listening("listener=local"));
             (node, local)
         };
@@ -210,7 +210,7 @@
         let start = Instant::now();
         self.fleet.control.start_replica(0);
         let addresses: Vec<SocketAddr> = self.relays.iter().map(|relay| relay.address).collect();
-        self.node = start_node(self.fleet.folder.path(), NODES, "zone-a", &addresses);
+        self.node = start_free_node(self.fleet.folder.path(), NODES, "zone-a", &addresses);
         let entry = block_in_place(|| self.node.listening("listener=entry"));
         let replica = self.control_addresses()[0];
         let replica_time = tokio::spawn(wait_replica(replica, self.version, start));
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -460,6 +460,23 @@
     quoted.join(", ")
 }
 
+/// Starts a node on free ports.
+pub(crate) fn start_free_node(
+    folder: &Path,
+    position: usize,
+    zone: &str,
+    control: &[SocketAddr],
+) -> Process {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = NodeSettings {
+        zone: zone.to_owned(),
+        entry: any_port,
+        mesh: any_port,
+        local: any_port,
+    };
+    start_node(folder, position, &settings, control)
+}
+
 fn start_node(
     folder: &Path,
     position: usize,
