--- a/benches/overload_recovery/main.rs
+++ b/benches/overload_recovery/main.rs
@@ -156,6 +156,8 @@
     let digest = sha2_hex(CREDENTIAL);
     let plans = PLANS.replace("@DIGEST@", &digest);
     let fleet = tokio::task::block_in_place(|| Fleet::start(&services(), &plans, GRANTS));
+    // Nodes learn of targets that started after them with their next heartbeat.
+    tokio::time::sleep(SETTLE_TIME).await;
     let entries = fleet
         .endpoints
         .iter()
