--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -35,3 +35,13 @@
 fn schedules_five_replicas() {
     run_schedules(5);
 }
+
+/// Guards against a recovery that takes longer than the bound of the simulation.
+#[test]
+fn schedule_slow_recovery_1780() {
+    for size in [3, 5] {
+        if let Err(error) = Simulation::run(1780, size) {
+            panic!("{error}");
+        }
+    }
+}
