Send a new leader's directory only to nodes whose directory differs

Cause: a new leader sent the whole directory, 35.7 KB at 580 endpoints, to every node, which is 17 s of a node's budget of 2 KB/s and 17 MB in all. A heartbeat now carries a digest of the directory that the node holds; the leader answers with an update without changes when its own has the same digest. Ruled out: revisions that go on over terms, because leases are soft state and two leaders could give one revision to different changes. Also logs each failed send with its cause; bursts of target-down at live targets could not be explained. Test: delta_for_digest_new_term.

--- a/examples/capacity_slopes/announcers.rs
+++ b/examples/capacity_slopes/announcers.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use ebonyjunction::config::MeshToken;
 use ebonyjunction::control_client::ControlClient;
+use ebonyjunction::directory::HeldDirectory;
 use ebonyjunction::generated::{
     HeartbeatReply, HeartbeatRequest, NodeInfo, TargetInfo, TargetState,
 };
@@ -26,6 +27,7 @@
     revision: u64,
     plan_version: u64,
     pub(crate) nodes: BTreeSet<Bytes>,
+    held: HeldDirectory,
     /// Encoded bytes of all replies.
     pub(crate) reply_bytes: u64,
     pub(crate) failed: u64,
@@ -113,6 +115,7 @@
         plan_version: view.plan_version,
         directory_term: view.term,
         directory_revision: view.revision,
+        directory_digest: view.held.digest(),
         all_services: true,
         ..HeartbeatRequest::default()
     }
@@ -125,6 +128,7 @@
         let Some(delta) = reply.directory else {
             return;
         };
+        self.held.apply(&delta);
         if delta.full {
             self.nodes.clear();
         }
--- a/src/control_server/leader.rs
+++ b/src/control_server/leader.rs
@@ -87,6 +87,12 @@
         if holds_earlier && !self.leases.is_complete(now) {
             return None;
         }
+        if holds_earlier
+            && request.all_services
+            && let Some(delta) = self.leases.delta_for_digest(request.directory_digest)
+        {
+            return Some(delta);
+        }
         let names = request.services.iter();
         let services: BTreeSet<ServiceName> = names
             .filter_map(|name| ServiceName::try_from(name.as_str()).ok())
--- a/src/directory/lease_table.rs
+++ b/src/directory/lease_table.rs
@@ -8,6 +8,8 @@
 use crate::routing::TargetRecord;
 use crate::types::{NodeId, ServiceName, TickTime};
 
+use super::digest::entry_digest;
+
 /// Time for which an announcement holds.
 pub const TARGET_LEASE: Duration = Duration::from_secs(3);
 
@@ -32,6 +34,7 @@
 #[derive(Debug)]
 struct LeaseEntry {
     info: NodeInfo,
+    digest: u64,
     service: Option<ServiceName>,
     revision: u64,
     plan_version: u64,
@@ -83,9 +86,11 @@
         let is_changed = previous.is_none_or(|entry| entry.info != info);
         let old_service = previous.and_then(|entry| entry.service.clone());
         let mut revision = previous.map_or(0, |entry| entry.revision);
+        let mut digest = previous.map_or(0, |entry| entry.digest);
         if is_changed {
             self.revision += 1;
             revision = self.revision;
+            digest = entry_digest(&info);
         }
         if let Some(old_service) = old_service
             && Some(&old_service) != service.as_ref()
@@ -94,6 +99,7 @@
         }
         let entry = LeaseEntry {
             info,
+            digest,
             service,
             revision,
             plan_version,
@@ -131,6 +137,21 @@
         });
     }
 
+    /// Returns an update without changes if the digest of a node's directory is that of this one, whatever term the node
+    /// got it in.
+    pub fn delta_for_digest(&self, digest: u64) -> Option<DirectoryDelta> {
+        let listed = self
+            .entries
+            .values()
+            .filter(|entry| entry.service.is_some());
+        let own_digest = listed.fold(0, |digest, entry| digest ^ entry.digest);
+        (own_digest == digest).then(|| DirectoryDelta {
+            term: self.term,
+            revision: self.revision,
+            ..DirectoryDelta::default()
+        })
+    }
+
     /// Returns what changed for the services since a revision that the node holds, or the full
     /// directory if the node's position belongs to another term or is too old.
     ///
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -96,6 +96,7 @@
         plan_version: lock(&state.plans).version(),
         directory_term: position.term,
         directory_revision: position.revision,
+        directory_digest: lock(&state.held_directory).digest(),
         demands: demands.iter().map(RateDemand::from).collect(),
         relayed: false,
         // Outside callers may name any service at any node, and the first call must not wait for a heartbeat.
@@ -152,7 +153,7 @@
     lock(&state.shares).update(sent_at, now, &shares);
     state.rate_granted.notify_waiters();
     if let Some(delta) = reply.directory {
-        apply_directory(state, now, delta)?;
+        apply_directory(state, now, &delta)?;
     }
     if is_confirmed && lock(&state.directory).is_known() {
         state.advance(&LifecycleEvent::ViewsArrived);
@@ -160,7 +161,7 @@
     Ok(())
 }
 
-fn apply_directory(state: &NodeState, now: TickTime, delta: DirectoryDelta) -> Result<()> {
+fn apply_directory(state: &NodeState, now: TickTime, delta: &DirectoryDelta) -> Result<()> {
     let next = DirectoryPosition {
         term: delta.term,
         revision: delta.revision,
@@ -174,7 +175,8 @@
             delta.full
         );
     }
-    let update = DirectoryUpdate::try_from(delta)?;
+    let update = DirectoryUpdate::try_from(delta.clone())?;
+    lock(&state.held_directory).apply(delta);
     lock(&state.routes).apply_update(now, update);
     *lock(&state.directory) = next;
     Ok(())
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -18,6 +18,7 @@
 use crate::config::NodeConfig;
 use crate::control_client::ControlClient;
 use crate::decisions::DecisionLog;
+use crate::directory::HeldDirectory;
 use crate::error::{MeshError, Result};
 use crate::plans::{CallerEntry, PlanBook, PlanEntry};
 use crate::proxy::{AttemptTable, EntryMemory, MeshClient, new_client};
@@ -71,6 +72,8 @@
     pub(crate) answers: Mutex<AnswerMemory>,
     pub(crate) entries: Mutex<EntryMemory>,
     pub(crate) directory: Mutex<DirectoryPosition>,
+    /// Digests of the entries of the directory.
+    pub(crate) held_directory: Mutex<HeldDirectory>,
     pub(crate) rng: Mutex<SmallRng>,
     lifecycle: Mutex<LifecycleMachine>,
     /// Wakes the heartbeat loop when the directory must learn of a change.
@@ -128,6 +131,7 @@
             answers: Mutex::default(),
             entries: Mutex::default(),
             directory: Mutex::default(),
+            held_directory: Mutex::default(),
             rng: Mutex::new(SmallRng::seed_from_u64(seed_from(node_id))),
             lifecycle: Mutex::new(LifecycleMachine::new()),
             announced: Notify::new(),
--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -57,10 +57,18 @@
     client: &MeshClient,
     request: Request<ProxyBody>,
 ) -> std::result::Result<Response<Incoming>, SendFailure> {
-    client
-        .request(request)
-        .await
-        .map_err(|error| describe(&error))
+    let peer = request.uri().authority().cloned();
+    let result = client.request(request).await;
+    result.map_err(|error| {
+        let failure = describe(&error);
+        log::warn!(
+            "event=send_failed peer={} is_unsent={} error={:?}",
+            peer.as_ref().map_or("", |peer| peer.as_str()),
+            failure.is_unsent,
+            failure.detail
+        );
+        failure
+    })
 }
 
 fn describe(error: &ClientError) -> SendFailure {
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ebonyjunction::directory::{LeaseTable, TARGET_LEASE};
+use ebonyjunction::directory::{HeldDirectory, LeaseTable, TARGET_LEASE};
 use ebonyjunction::generated::{DirectoryDelta, NodeInfo, TargetInfo, TargetState as StateMessage};
 use ebonyjunction::routing::{DirectoryUpdate, TargetRecord, TargetState};
 use ebonyjunction::types::{NodeId, ServiceName, TickTime};
@@ -178,3 +178,32 @@
     assert_eq!(record.state, TargetState::Ready);
     assert_eq!(NodeInfo::from(&record), valid);
 }
+
+/// Guards against a new leader that sends the whole directory to nodes that hold it already, which
+/// takes 17 s of a node's budget of bytes, and against an entry that is then missing or outdated.
+#[test]
+fn delta_for_digest_new_term() {
+    let mut old = LeaseTable::new(TERM, at(0));
+    let mut new = LeaseTable::new(TERM + 1, at(0));
+    for index in 1..=5 {
+        let info = node(index, "orders", StateMessage::Ready);
+        old.announce(at(0), info, 1).unwrap();
+    }
+    for index in (1..=5).rev() {
+        let info = node(index, "orders", StateMessage::Ready);
+        new.announce(at(0), info, 1).unwrap();
+    }
+    let mut held = HeldDirectory::default();
+    held.apply(&old.delta_since(0, 0, None));
+    let delta = new.delta_for_digest(held.digest()).unwrap();
+    assert_eq!((delta.term, delta.full), (TERM + 1, false));
+    assert!(delta.changed.is_empty() && delta.removed.is_empty());
+    let leaving = node(2, "orders", StateMessage::Leaving);
+    new.announce(at(10), leaving, 1).unwrap();
+    assert_eq!(new.delta_for_digest(held.digest()), None);
+    held.apply(&new.delta_since(TERM + 1, delta.revision, None));
+    assert!(new.delta_for_digest(held.digest()).is_some());
+    old.expire(at(4_000));
+    held.apply(&old.delta_since(TERM, 5, None));
+    assert_eq!(held.digest(), 0);
+}
