Wait for the next token of a small lease instead of refusing

Cause: the demo's payment, the fifth request within 100 ms of a caller with 200/s, was refused with plan-rate: its node held a lease of a few requests per second for the first requests, and a node with any lease refused at once, though nearly all of the caller's rate was unused. A node that holds less than the caller's whole rate now waits for the lease's next token or the early heartbeat, at most 500 ms and 64 requests at a time. Ruled out: larger first leases, which would take rate from other nodes.

--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -199,15 +199,22 @@
             Err(wait) => wait,
         };
         self.early_beat.notify_one();
-        if lock(&self.shares).held_rate(self.now(), &caller.name) > 0 {
+        let held_rate = lock(&self.shares).held_rate(self.now(), &caller.name);
+        if plan.rate_per_s.is_some_and(|rate| held_rate >= rate) {
             return Err(wait);
         }
+        // A small lease says nothing about the rest of the caller's rate: the next token of the lease is awaited.
+        let bound = if held_rate > 0 {
+            wait.min(SHARE_WAIT)
+        } else {
+            SHARE_WAIT
+        };
         let waiters = self.rate_waiters.fetch_add(1, Ordering::Relaxed);
         let waiter = ShareWaiter(&self.rate_waiters);
         if waiters >= MAX_SHARE_WAITERS {
             return Err(wait);
         }
-        let _ = timeout(SHARE_WAIT, granted).await;
+        let _ = timeout(bound, granted).await;
         drop(waiter);
         lock(&self.shares).take_again(self.now(), caller, plan)
     }
