--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use tempfile::TempDir;
@@ -20,6 +20,8 @@
 pub(crate) const CREDENTIAL: &str = "demo-reseller-credential";
 /// Generous bound on anything that a healthy mesh does.
 pub(crate) const PATIENCE: Duration = Duration::from_mins(1);
+const FIRST_EPHEMERAL_PORT: u16 = 32_768;
+static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 
 /// Polls until the check returns a value; panics with the description after the bound.
@@ -46,12 +48,26 @@
 
 /// Reserves free ports by binding them for a moment.
 fn free_addresses(ip: Ipv4Addr, count: usize) -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind((ip, 0)).expect("a free port");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
+    let listeners: Vec<TcpListener> = (0..count).map(|_| bind_next_port(ip)).collect();
     let address = |listener: &TcpListener| listener.local_addr().expect("bound");
     listeners.iter().map(address).collect()
 }
 
+/// Binds a port below the ephemeral range: an outgoing connection took a reserved port of that range before the replica
+/// that it was reserved for had started.
+fn bind_next_port(ip: Ipv4Addr) -> TcpListener {
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        assert!(
+            port < FIRST_EPHEMERAL_PORT,
+            "no free port below {FIRST_EPHEMERAL_PORT}"
+        );
+        if let Ok(listener) = TcpListener::bind((ip, port)) {
+            return listener;
+        }
+    }
+}
+
 /// Control replicas of one mesh.
 #[derive(Debug)]
 pub(crate) struct ControlFleet {
