--- a/tests/mesh/load.rs
+++ b/tests/mesh/load.rs
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Checks that a successful answer is the whole answer to this call.
+    /// Checks that a successful answer is the complete answer to this call.
     pub(crate) fn check_own_answer(&self) {
         let Some(answer) = self.answered() else {
             return;
