--- a/src/admission.rs
+++ b/src/admission.rs
@@ -12,8 +12,10 @@
 mod running;
 mod service_time;
 mod settings;
+mod slot_queue;
 mod work;
 
 pub use control::AdmissionControl;
 pub use settings::AdmissionSettings;
+pub use slot_queue::{SlotAction, SlotDecision, SlotQueue, SlotRequest, WaitKey};
 pub use work::{OfferDecision, WorkAction, WorkKey, WorkRequest, WorkResult};
--- /dev/null
+++ b/src/admission/slot_queue.rs
@@ -0,0 +1,242 @@
+//! Slots of one target and the requests that wait for them, ordered by urgency and latency objective.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::types::TickTime;
+
+new_key_type! {
+    /// Handle of a waiting request.
+    pub struct WaitKey;
+}
+
+/// Weight of one service time in the mean.
+const SERVICE_TIME_GAIN: f64 = 0.1;
+/// Service time assumed before the first answer; it only has to lie in the range of common requests.
+const FIRST_SERVICE_TIME: Duration = Duration::from_millis(100);
+/// Waiting requests for each slot; more would wait for longer than any objective.
+const WAITING_PER_SLOT: usize = 8;
+
+/// Request for a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlotRequest {
+    /// Calls of requests that already run: their parents hold slots elsewhere while they wait.
+    pub is_nested: bool,
+    /// Rank of the route; 0 is the most urgent.
+    pub urgency: u32,
+    /// Time until which an answer is of full use.
+    pub objective: TickTime,
+    /// Time after which an answer is of no use.
+    pub deadline: TickTime,
+}
+
+/// Decision about a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotDecision {
+    /// The request holds a slot and must be ended with [`SlotQueue::finish`].
+    Start,
+    /// The request waits; a later action starts or refuses it.
+    Wait(WaitKey),
+    /// The request is refused; room is expected after the given time.
+    Refuse {
+        /// Expected time until a slot is free for such a request.
+        wait: Duration,
+    },
+}
+
+/// Decision about a request that waited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotAction {
+    /// The request holds a slot and must be ended with [`SlotQueue::finish`].
+    Start(WaitKey),
+    /// The request is refused without having run.
+    Refuse(WaitKey, Duration),
+}
+
+/// Order of waiting requests; the smallest starts first and the greatest is displaced first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct WaitRank {
+    // Requests of running work go first, since their parents hold slots.
+    is_outer: bool,
+    urgency: u32,
+    sequence: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct WaitEntry {
+    request: SlotRequest,
+    rank: WaitRank,
+}
+
+/// Slots of a target with their queue.
+///
+/// A request waits only while it can still start in time for its objective. One that cannot is refused at once, so that
+/// its sender can try another target or tell the client when to come back.
+#[derive(Debug)]
+pub struct SlotQueue {
+    slots: u32,
+    running: u32,
+    entries: SlotMap<WaitKey, WaitEntry>,
+    waiting: BTreeMap<WaitRank, WaitKey>,
+    sequence: u64,
+    service_time: Option<f64>,
+}
+
+impl SlotQueue {
+    /// Creates a queue for a target that runs `slots` requests at once.
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots,
+            running: 0,
+            entries: SlotMap::with_key(),
+            waiting: BTreeMap::new(),
+            sequence: 0,
+            service_time: None,
+        }
+    }
+
+    /// Changes the number of slots; requests above a smaller number finish.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
+    /// Returns the number of requests that hold a slot.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the expected wait of a request that would be placed last.
+    pub fn expected_wait(&self) -> Duration {
+        if self.running < self.slots {
+            return Duration::ZERO;
+        }
+        self.wait_behind(self.waiting.len())
+    }
+
+    /// Decides about a request. Waiting requests that it displaces are in the actions.
+    pub fn offer(
+        &mut self,
+        now: TickTime,
+        request: SlotRequest,
+    ) -> (SlotDecision, Vec<SlotAction>) {
+        let mut actions = Vec::new();
+        if request.deadline <= now {
+            let wait = Duration::ZERO;
+            return (SlotDecision::Refuse { wait }, actions);
+        }
+        if self.running < self.slots && self.waiting.is_empty() {
+            self.running += 1;
+            return (SlotDecision::Start, actions);
+        }
+        self.sequence += 1;
+        let rank = WaitRank {
+            is_outer: !request.is_nested,
+            urgency: request.urgency,
+            sequence: self.sequence,
+        };
+        let ahead = self.waiting.range(..rank).count();
+        let wait = self.wait_behind(ahead);
+        if now + wait > Self::latest_start(&request) || !self.make_room(rank, &mut actions) {
+            return (SlotDecision::Refuse { wait }, actions);
+        }
+        let key = self.entries.insert(WaitEntry { request, rank });
+        self.waiting.insert(rank, key);
+        (SlotDecision::Wait(key), actions)
+    }
+
+    /// Ends a request that held a slot and starts those that waited for it. `service_time` is absent if the request
+    /// says nothing about the speed of the target.
+    pub fn finish(&mut self, now: TickTime, service_time: Option<Duration>) -> Vec<SlotAction> {
+        self.running = self.running.saturating_sub(1);
+        if let Some(sample) = service_time {
+            let sample_s = sample.as_secs_f64();
+            let mean = self.service_time.get_or_insert(sample_s);
+            *mean += SERVICE_TIME_GAIN * (sample_s - *mean);
+        }
+        self.start_waiting(now)
+    }
+
+    /// Removes a waiting request; returns whether it still waited.
+    pub fn cancel(&mut self, key: WaitKey) -> bool {
+        let Some(entry) = self.entries.remove(key) else {
+            return false;
+        };
+        self.waiting.remove(&entry.rank);
+        true
+    }
+
+    /// Refuses requests that can no longer start in time.
+    pub fn expire(&mut self, now: TickTime) -> Vec<SlotAction> {
+        let is_late = |entry: &WaitEntry| now > Self::latest_start(&entry.request);
+        let late = self.entries.iter().filter(|(_, entry)| is_late(entry));
+        let keys: Vec<WaitKey> = late.map(|(key, _)| key).collect();
+        keys.into_iter().map(|key| self.refuse(key)).collect()
+    }
+
+    /// Refuses all waiting requests, because the target leaves or the process stops.
+    pub fn refuse_all(&mut self) -> Vec<SlotAction> {
+        let keys: Vec<WaitKey> = self.entries.keys().collect();
+        keys.into_iter().map(|key| self.refuse(key)).collect()
+    }
+
+    /// Starts waiting requests while slots are free.
+    pub fn start_waiting(&mut self, now: TickTime) -> Vec<SlotAction> {
+        let mut actions = Vec::new();
+        while self.running < self.slots {
+            let Some((_, key)) = self.waiting.pop_first() else {
+                break;
+            };
+            let Some(entry) = self.entries.remove(key) else {
+                continue;
+            };
+            if entry.request.deadline <= now {
+                actions.push(SlotAction::Refuse(key, Duration::ZERO));
+                continue;
+            }
+            self.running += 1;
+            actions.push(SlotAction::Start(key));
+        }
+        actions
+    }
+
+    fn latest_start(request: &SlotRequest) -> TickTime {
+        request.objective.min(request.deadline)
+    }
+
+    fn refuse(&mut self, key: WaitKey) -> SlotAction {
+        self.cancel(key);
+        SlotAction::Refuse(key, self.expected_wait())
+    }
+
+    /// Displaces the last waiting request if the queue is full; returns whether there is a place.
+    fn make_room(&mut self, rank: WaitRank, actions: &mut Vec<SlotAction>) -> bool {
+        let bound = self.slots as usize * WAITING_PER_SLOT;
+        if self.waiting.len() < bound {
+            return true;
+        }
+        match self.waiting.last_key_value() {
+            Some((last, key)) if *last > rank => {
+                let key = *key;
+                actions.push(self.refuse(key));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the expected wait with `ahead` requests to start before.
+    fn wait_behind(&self, ahead: usize) -> Duration {
+        let service_s = self
+            .service_time
+            .unwrap_or(FIRST_SERVICE_TIME.as_secs_f64());
+        let slots = f64::from(self.slots.max(1));
+        Duration::from_secs_f64(service_s * (ahead + 1) as f64 / slots)
+    }
+}
--- a/src/config/control.rs
+++ b/src/config/control.rs
@@ -16,6 +16,13 @@
 const MAX_CLAIM_RETENTION_S: u64 = 86_400;
 const DEFAULT_SNAPSHOT_ENTRIES: u64 = 4_096;
 const MAX_SNAPSHOT_ENTRIES: u64 = 1_000_000;
+const DEFAULT_HEARTBEAT_INTERVAL_MS: u64 = 75;
+const MIN_HEARTBEAT_INTERVAL_MS: u64 = 20;
+const MAX_HEARTBEAT_INTERVAL_MS: u64 = 1_000;
+const DEFAULT_MAX_VOTERS: u64 = 5;
+const MAX_MAX_VOTERS: u64 = 31;
+const MAX_SILENT_VOTER_TIMEOUT_S: u64 = 86_400;
+const DEFAULT_MIN_VOTERS: u64 = 3;
 
 /// Identity and address of another control replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +54,16 @@
     pub claim_retention: Duration,
     /// Log entries between two snapshots.
     pub snapshot_entries: u64,
+    /// Time between two messages of a leader; elections wait four to eight times as long.
+    pub heartbeat_interval: Duration,
+    /// Largest number of voters.
+    pub max_voters: usize,
+    /// A voter that has been silent for so long loses its vote, while more than `min_voters` are left.
+    pub silent_voter_timeout: Option<Duration>,
+    /// Voters that are never removed.
+    pub min_voters: usize,
+    /// Whether the replica opens its store again after a disk error instead of ending.
+    pub reopen_after_disk_error: bool,
     /// Bound on a graceful stop.
     pub stop_timeout: Duration,
     /// Receiver of statsd metrics over UDP.
@@ -84,6 +101,16 @@
         1..=MAX_SNAPSHOT_ENTRIES,
         DEFAULT_SNAPSHOT_ENTRIES,
     );
+    let heartbeat_interval_ms = reader.integer(
+        "heartbeat_interval_ms",
+        MIN_HEARTBEAT_INTERVAL_MS..=MAX_HEARTBEAT_INTERVAL_MS,
+        DEFAULT_HEARTBEAT_INTERVAL_MS,
+    );
+    let max_voters = reader.integer("max_voters", 1..=MAX_MAX_VOTERS, DEFAULT_MAX_VOTERS);
+    let min_voters = reader.integer("min_voters", 1..=MAX_MAX_VOTERS, DEFAULT_MIN_VOTERS);
+    let silent_voter_timeout_s =
+        reader.integer("silent_voter_timeout_s", 0..=MAX_SILENT_VOTER_TIMEOUT_S, 0);
+    let reopen_after_disk_error = reader.boolean("reopen_after_disk_error", false);
     let stop_timeout_s = reader.integer(
         "stop_timeout_s",
         1..=MAX_STOP_TIMEOUT_S,
@@ -100,6 +127,12 @@
         peers,
         claim_retention: Duration::from_secs(claim_retention_s),
         snapshot_entries,
+        heartbeat_interval: Duration::from_millis(heartbeat_interval_ms),
+        max_voters: max_voters as usize,
+        silent_voter_timeout: (silent_voter_timeout_s > 0)
+            .then(|| Duration::from_secs(silent_voter_timeout_s)),
+        min_voters: min_voters as usize,
+        reopen_after_disk_error,
         stop_timeout: Duration::from_secs(stop_timeout_s),
         metrics_address,
     })
--- a/src/consensus/join.rs
+++ b/src/consensus/join.rs
@@ -201,6 +201,36 @@
         self.append_membership(promoted)
     }
 
+    /// Removes a voter that has been silent for long, so that a VM that is gone for good no longer counts in the
+    /// quorum. A replica that comes back joins again as a learner.
+    pub(super) fn remove_silent_voter(&mut self, now: TickTime) -> Result<()> {
+        let Some(timeout) = self.settings.silent_voter_timeout else {
+            return Ok(());
+        };
+        let Some(leading) = &self.leading else {
+            return Ok(());
+        };
+        let membership = self.members.current();
+        if !self.can_change_membership() || membership.voters.len() <= self.settings.min_voters {
+            return Ok(());
+        }
+        let is_silent = |voter: &&ReplicaInfo| {
+            let Some(peer) = leading.peers.get(&voter.disk_id) else {
+                return false;
+            };
+            let heard_at = peer.confirmed_at.unwrap_or_default();
+            now.saturating_since(heard_at.max(leading.elected_at)) > timeout
+        };
+        let Some(silent) = membership.voters.iter().find(is_silent) else {
+            return Ok(());
+        };
+        let mut changed = membership.clone();
+        changed
+            .voters
+            .retain(|voter| voter.disk_id != silent.disk_id);
+        self.append_membership(changed)
+    }
+
     /// Uses another replica's answer: a cluster exists, or that replica holds no log either.
     pub(super) fn on_join_reply(&mut self, now: TickTime, from: u64, reply: JoinReply) {
         if reply.disk_id != self.own.disk_id {
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -85,7 +85,8 @@
             self.send_heartbeats(now);
             self.resend_snapshots(now);
         }
-        self.promote_learner(now)
+        self.promote_learner(now)?;
+        self.remove_silent_voter(now)
     }
 
     /// Creates progress for new members and forgets former ones.
--- a/src/consensus/settings.rs
+++ b/src/consensus/settings.rs
@@ -15,6 +15,8 @@
 /// How long an answer of another initial replica counts while the first configuration is created.
 const FOUNDING_WINDOW: Duration = Duration::from_secs(2);
 const MAX_VOTERS: usize = 5;
+/// Fewer voters would not bear the loss of one.
+const MIN_VOTERS: usize = 3;
 
 /// Timing and bounds of one replica; all replicas of a mesh use the same values.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,6 +44,10 @@
     pub founding_window: Duration,
     /// Largest number of voters; no further replica is added.
     pub max_voters: usize,
+    /// Time without an answer after which a voter loses its vote; `None` keeps it.
+    pub silent_voter_timeout: Option<Duration>,
+    /// Voters that are never removed for silence.
+    pub min_voters: usize,
     /// Whether replicas with empty folders may create the first configuration.
     pub bootstrap: bool,
 }
@@ -60,6 +66,8 @@
             join_interval: JOIN_INTERVAL,
             founding_window: FOUNDING_WINDOW,
             max_voters: MAX_VOTERS,
+            silent_voter_timeout: None,
+            min_voters: MIN_VOTERS,
             bootstrap: false,
         }
     }
--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -58,6 +58,23 @@
         Self { channels }
     }
 
+    /// Replaces the addresses of the settings.
+    pub fn configure(&self, addresses: Vec<SocketAddr>) {
+        self.channels.configure(addresses);
+    }
+
+    /// Adopts the replicas that a heartbeat reply names; those of the settings stay in use too.
+    pub fn adopt_replicas(&self, reported: &[String]) {
+        let mut addresses = Vec::with_capacity(reported.len());
+        for raw in reported {
+            match raw.parse() {
+                Ok(address) => addresses.push(address),
+                Err(_) => log::warn!("event=replica_address_malformed address={raw:?}"),
+            }
+        }
+        self.channels.adopt(&addresses);
+    }
+
     /// Sends a heartbeat; a failed replica is replaced by the next one within one second.
     pub async fn heartbeat(&self, request: HeartbeatRequest) -> Result<HeartbeatReply> {
         let bounds = CallBounds {
@@ -137,7 +154,7 @@
                 break;
             }
             let bound = time_left.min(bounds.each);
-            let address = self.channels.address(used);
+            let address = used.address;
             match timeout(bound, send(channel)).await {
                 Ok(Ok(response)) => return Ok(response.into_inner()),
                 Ok(Err(status)) if is_permanent(&status) => {
--- a/src/control_client/channels.rs
+++ b/src/control_client/channels.rs
@@ -1,5 +1,6 @@
 //! Connections to the control replicas.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -61,22 +62,24 @@
 /// One lazily opened channel per replica, and the replica in use.
 #[derive(Debug)]
 pub(super) struct ChannelTable {
-    addresses: Vec<SocketAddr>,
     interceptor: TokenInterceptor,
     state: Mutex<ChannelState>,
 }
 
 #[derive(Debug)]
 struct ChannelState {
+    // Addresses of the settings; they stay in the table whatever the replicas report.
+    configured: Vec<SocketAddr>,
+    addresses: Vec<SocketAddr>,
     position: usize,
-    channels: Vec<Option<(u64, Channel)>>,
+    channels: BTreeMap<SocketAddr, (u64, Channel)>,
     last_number: u64,
 }
 
-/// Place of a channel in the table, and its number, so that a late call cannot give up the successor of its channel.
+/// Address of a channel and its number, so that a late call cannot give up the successor of its channel.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ChannelRef {
-    position: usize,
+    pub(super) address: SocketAddr,
     number: u64,
 }
 
@@ -84,46 +87,57 @@
     pub(super) fn new(addresses: Vec<SocketAddr>, token: &MeshToken) -> Self {
         let state = ChannelState {
             position: start_position(addresses.len()),
-            channels: vec![None; addresses.len()],
+            configured: addresses.clone(),
+            addresses,
+            channels: BTreeMap::new(),
             last_number: 0,
         };
         Self {
-            addresses,
             interceptor: TokenInterceptor::new(token),
             state: Mutex::new(state),
         }
     }
 
-    pub(super) fn address(&self, channel: ChannelRef) -> SocketAddr {
-        self.addresses[channel.position]
+    /// Replaces the addresses of the settings.
+    pub(super) fn configure(&self, addresses: Vec<SocketAddr>) {
+        let mut state = self.lock();
+        state.configured = addresses;
+        let known = state.addresses.clone();
+        state.adopt(&known);
+    }
+
+    /// Adopts the replicas that the leader reported, beside those of the settings.
+    pub(super) fn adopt(&self, reported: &[SocketAddr]) {
+        if !reported.is_empty() {
+            self.lock().adopt(reported);
+        }
     }
 
     /// Returns the replica in use, opening its channel if needed.
     pub(super) fn current(&self) -> Option<(ChannelRef, MeshChannel)> {
         let mut state = self.lock();
-        let position = state.position;
-        let address = *self.addresses.get(position)?;
-        if state.channels.get(position)?.is_none() {
+        let address = *state.addresses.get(state.position)?;
+        if !state.channels.contains_key(&address) {
             let channel = mesh_endpoint(address).ok()?.connect_lazy();
             state.last_number += 1;
-            state.channels[position] = Some((state.last_number, channel));
+            let number = state.last_number;
+            state.channels.insert(address, (number, channel));
         }
-        let (number, channel) = state.channels[position].clone()?;
+        let (number, channel) = state.channels.get(&address)?.clone();
         let service = InterceptedService::new(channel, self.interceptor.clone());
-        Some((ChannelRef { position, number }, service))
+        Some((ChannelRef { address, number }, service))
     }
 
     /// Moves on to the next replica unless another call did so. A silent connection is given up, since TCP would
     /// otherwise hold it for minutes.
     pub(super) fn rotate(&self, channel: ChannelRef, is_silent: bool) {
         let mut state = self.lock();
-        let ChannelRef { position, number } = channel;
-        let held = state.channels[position].as_ref();
-        if is_silent && held.is_some_and(|(current, _)| *current == number) {
-            state.channels[position] = None;
+        let held = state.channels.get(&channel.address);
+        if is_silent && held.is_some_and(|(current, _)| *current == channel.number) {
+            state.channels.remove(&channel.address);
         }
-        if state.position == position {
-            state.position = (position + 1) % self.addresses.len();
+        if state.addresses.get(state.position) == Some(&channel.address) {
+            state.position = (state.position + 1) % state.addresses.len();
         }
     }
 
@@ -132,6 +146,21 @@
     }
 }
 
+impl ChannelState {
+    fn adopt(&mut self, reported: &[SocketAddr]) {
+        let listed: BTreeSet<SocketAddr> =
+            self.configured.iter().chain(reported).copied().collect();
+        if self.addresses.iter().copied().collect::<BTreeSet<_>>() == listed {
+            return;
+        }
+        let in_use = self.addresses.get(self.position).copied();
+        self.channels.retain(|address, _| listed.contains(address));
+        self.addresses = listed.into_iter().collect();
+        let position = self.addresses.iter().position(|at| Some(*at) == in_use);
+        self.position = position.unwrap_or_else(|| start_position(self.addresses.len()));
+    }
+}
+
 // Spreads the nodes over the replicas.
 fn start_position(count: usize) -> usize {
     let random = uuid::Uuid::new_v4().as_u128() as usize;
--- a/src/control_server.rs
+++ b/src/control_server.rs
@@ -11,6 +11,9 @@
 mod replication;
 mod replies;
 mod requests;
+mod route_port;
 mod server;
 
 pub use program::run_program;
+pub use route_port::RoutePort;
+pub use server::{RunningReplica, start_replica};
--- a/src/control_server/answers.rs
+++ b/src/control_server/answers.rs
@@ -12,17 +12,49 @@
 use crate::error::Result;
 use crate::generated::command::Change;
 use crate::generated::{
-    ApplyReply, ClaimReply, Command, ExpireCommand, HeartbeatReply, HeartbeatRequest, SettleReply,
-    ShowReply, StatusReply,
+    ApplyReply, ApplyRoutesReply, ClaimReply, Command, DirectoryDelta, ExpireCommand,
+    HeartbeatReply, HeartbeatRequest, SettleReply, ShowReply, ShowRoutesReply, StatusReply,
 };
+use crate::types::TickTime;
 
 use super::clock::unix_millis;
-use super::leader::HeartbeatContext;
+use super::leader::{HeartbeatContext, LeaderTables};
 use super::replica::ReplicaThread;
-use super::requests::ProposalReply;
+use super::requests::{ProposalReply, Reply};
 
-// Below the shortest election timeout (300 ms), so that no other leader can have been elected meanwhile.
-const QUORUM_LEASE: Duration = Duration::from_millis(250);
+// Part of the shortest election timeout for which a confirmation counts, so that no other leader can have been elected
+// meanwhile.
+const QUORUM_LEASE_PART: f64 = 5.0 / 6.0;
+
+/// Longest time that an answer to a heartbeat is held back; below the bounds of relays and nodes.
+const MAX_HEARTBEAT_WAIT: Duration = Duration::from_millis(700);
+/// Longest wait of a read for a confirmation; below the bounds of relays.
+const MAX_READ_WAIT: Duration = Duration::from_millis(800);
+
+/// Heartbeat whose answer is held back.
+#[derive(Debug)]
+pub(super) struct ParkedHeartbeat {
+    request: HeartbeatRequest,
+    reply: Reply<HeartbeatReply>,
+    until: TickTime,
+}
+
+/// Read of the routes that waits for a confirmation.
+#[derive(Debug)]
+pub(super) struct WaitingRead {
+    pub(super) arrived_at: TickTime,
+    pub(super) reply: Reply<ShowRoutesReply>,
+}
+
+fn has_news(reply: &HeartbeatReply) -> bool {
+    let is_changed = |delta: &DirectoryDelta| {
+        delta.full || !delta.changed.is_empty() || !delta.removed.is_empty()
+    };
+    reply.routes.is_some()
+        || reply.plans.is_some()
+        || !reply.shares.is_empty()
+        || reply.directory.as_ref().is_some_and(is_changed)
+}
 
 impl ReplicaThread {
     /// Returns how long ago a quorum confirmed this leader, if that is recent enough to answer.
@@ -35,14 +67,66 @@
             return Err(Status::unavailable("the new leader has not committed yet"));
         }
         core.quorum_age(self.now())
-            .filter(|age| *age <= QUORUM_LEASE)
+            .filter(|age| *age <= self.parts.election_timeout_min.mul_f64(QUORUM_LEASE_PART))
             .ok_or_else(|| Status::unavailable("no quorum confirmed the leader within its lease"))
     }
 
-    pub(super) fn answer_heartbeat(
+    /// Takes a heartbeat over and answers it, or holds the answer back until there is news.
+    pub(super) fn receive_heartbeat(
         &mut self,
-        request: &HeartbeatRequest,
-    ) -> Result<HeartbeatReply, Status> {
+        request: HeartbeatRequest,
+        reply: Reply<HeartbeatReply>,
+    ) {
+        let announced = self.announce(&request);
+        let answer = announced.and_then(|()| self.answer_heartbeat(&request));
+        match answer {
+            Ok(answer) if request.wait_ms > 0 && !has_news(&answer) => {
+                let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_HEARTBEAT_WAIT);
+                let until = self.now() + wait;
+                self.parked.push(ParkedHeartbeat {
+                    request,
+                    reply,
+                    until,
+                });
+            }
+            answer => drop(reply.send(answer)),
+        }
+    }
+
+    /// Answers held heartbeats that are due or for which there is news.
+    pub(super) fn release_heartbeats(&mut self) {
+        let now = self.now();
+        let route_version = self.parts.state.routes().version;
+        let plan_version = self.parts.state.plans().version();
+        let is_due = |beat: &ParkedHeartbeat, tables: Option<&LeaderTables>| {
+            beat.until <= now
+                || beat.reply.is_closed()
+                || beat.request.route_version != route_version
+                || beat.request.plan_version != plan_version
+                || tables.is_none_or(|tables| tables.has_news(&beat.request))
+        };
+        let mut position = 0;
+        while position < self.parked.len() {
+            if is_due(&self.parked[position], self.tables.as_ref()) {
+                let beat = self.parked.swap_remove(position);
+                let answer = self.answer_heartbeat(&beat.request);
+                drop(beat.reply.send(answer));
+            } else {
+                position += 1;
+            }
+        }
+    }
+
+    fn announce(&mut self, request: &HeartbeatRequest) -> Result<(), Status> {
+        self.confirmed_age()?;
+        let now = self.now();
+        let Some(tables) = &mut self.tables else {
+            return Err(Status::unavailable("this replica is not the leader"));
+        };
+        tables.announce(now, request)
+    }
+
+    fn answer_heartbeat(&mut self, request: &HeartbeatRequest) -> Result<HeartbeatReply, Status> {
         let quorum_age = self.confirmed_age()?;
         let now = self.now();
         let Some(tables) = &mut self.tables else {
@@ -54,8 +138,48 @@
             book: self.parts.state.plans(),
             plan_set: &self.plan_set,
             replicas: &self.replicas,
+            route_version: self.parts.state.routes().version,
         };
-        tables.heartbeat(request, &context)
+        let mut reply = tables.reply(request, &context)?;
+        if request.route_version != reply.route_version {
+            reply.routes = Some(self.parts.state.route_delta(request.route_version));
+        }
+        Ok(reply)
+    }
+
+    /// Answers reads of the routes once a quorum has confirmed the leader after they arrived. A lease would not do:
+    /// the steady clock stands still while a VM is suspended.
+    pub(super) fn release_reads(&mut self) {
+        if self.reads.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let confirmed = self
+            .confirmed_age()
+            .map(|age| TickTime::from_start(now.since_start().saturating_sub(age)));
+        let mut position = 0;
+        while position < self.reads.len() {
+            let arrived_at = self.reads[position].arrived_at;
+            let is_fresh = confirmed.as_ref().is_ok_and(|at| *at >= arrived_at);
+            let is_late = now.saturating_since(arrived_at) > MAX_READ_WAIT;
+            if !is_fresh && !is_late && self.tables.is_some() {
+                position += 1;
+                continue;
+            }
+            let read = self.reads.swap_remove(position);
+            let routes = self.parts.state.routes();
+            let answer = if is_fresh {
+                Ok(ShowRoutesReply {
+                    version: routes.version,
+                    document: routes.document.clone(),
+                })
+            } else {
+                Err(Status::unavailable(
+                    "no quorum confirmed the routes in time",
+                ))
+            };
+            drop(read.reply.send(answer));
+        }
     }
 
     pub(super) fn answer_show(&self) -> Result<ShowReply, Status> {
@@ -92,6 +216,12 @@
                     findings: Vec::new(),
                 }));
             }
+            (ProposalReply::Routes(reply), ApplyResult::Routes(result)) => {
+                let _ = reply.send(Ok(ApplyRoutesReply {
+                    accepted: result.accepted,
+                    version: result.version,
+                }));
+            }
             (ProposalReply::Claim(reply), ApplyResult::Claim { decision, holder }) => {
                 let _ = reply.send(Ok(ClaimReply {
                     decision: decision.into(),
--- a/src/control_server/leader.rs
+++ b/src/control_server/leader.rs
@@ -26,6 +26,7 @@
     pub(super) book: &'a Arc<PlanBook>,
     pub(super) plan_set: &'a PlanSet,
     pub(super) replicas: &'a [String],
+    pub(super) route_version: u64,
 }
 
 /// Tables of one term.
@@ -45,20 +46,27 @@
         }
     }
 
-    pub(super) fn heartbeat(
+    /// Takes over what a node announces.
+    pub(super) fn announce(
+        &mut self,
+        now: TickTime,
+        request: &HeartbeatRequest,
+    ) -> Result<(), Status> {
+        let node = request.node.clone().ok_or_else(missing_node)?;
+        self.leases
+            .announce(now, node, request.plan_version)
+            .map_err(|error| invalid(&error))
+    }
+
+    /// Returns what is new for a node.
+    pub(super) fn reply(
         &mut self,
         request: &HeartbeatRequest,
         context: &HeartbeatContext<'_>,
     ) -> Result<HeartbeatReply, Status> {
         let now = context.now;
-        let node = request
-            .node
-            .clone()
-            .ok_or_else(|| Status::invalid_argument("the node is missing"))?;
+        let node = request.node.as_ref().ok_or_else(missing_node)?;
         let node_id = NodeId::try_from(node.node_id.as_ref()).map_err(|error| invalid(&error))?;
-        self.leases
-            .announce(now, node, request.plan_version)
-            .map_err(|error| invalid(&error))?;
         let is_behind = request.plan_version != context.book.version();
         Ok(HeartbeatReply {
             term: self.term,
@@ -68,9 +76,16 @@
             directory: self.directory_for(now, request),
             shares: self.renew_shares(now, node_id, &request.demands, context.book)?,
             replicas: context.replicas.to_vec(),
+            route_version: context.route_version,
+            routes: None,
         })
     }
 
+    /// Returns whether the directory has changed since the node's last answer.
+    pub(super) fn has_news(&self, request: &HeartbeatRequest) -> bool {
+        request.directory_term == self.term && request.directory_revision != self.leases.revision()
+    }
+
     pub(super) fn expire(&mut self, now: TickTime) {
         self.leases.expire(now);
         self.shares.expire(now);
@@ -124,6 +139,10 @@
     }
 }
 
+fn missing_node() -> Status {
+    Status::invalid_argument("the node is missing")
+}
+
 fn invalid(error: &MeshError) -> Status {
     Status::invalid_argument(error.to_string())
 }
--- a/src/control_server/program.rs
+++ b/src/control_server/program.rs
@@ -12,7 +12,7 @@
 use crate::error::{MeshError, Result};
 use crate::telemetry::start_logging;
 
-use super::server::run_replica;
+use super::server::start_replica;
 
 const HELP: &str = "\
 One replica of the control plane of ebonyjunction.
@@ -99,7 +99,7 @@
     let stop_timeout = config.stop_timeout;
     let result = runtime.block_on(async {
         let stop = stop_signal()?;
-        run_replica(config, stop).await
+        start_replica(config).await?.run_until(stop).await
     });
     if let Err(error) = &result {
         log::error!(event = "replica-failed", error:% = error; "");
--- a/src/control_server/relay.rs
+++ b/src/control_server/relay.rs
@@ -14,11 +14,13 @@
 use crate::generated::registry_client::RegistryClient;
 use crate::generated::registry_server::Registry;
 use crate::generated::{
-    ApplyReply, ApplyRequest, ClaimCommand, ClaimReply, ClaimRequest, Command, HeartbeatReply,
-    HeartbeatRequest, PlanChange, ReplicaInfo, SettleCommand, SettleReply, SettleRequest,
-    ShowReply, ShowRequest, StatusReply, StatusRequest,
+    ApplyReply, ApplyRequest, ApplyRoutesReply, ApplyRoutesRequest, ClaimCommand, ClaimReply,
+    ClaimRequest, Command, HeartbeatReply, HeartbeatRequest, PlanChange, ReplicaInfo, RouteChange,
+    SettleCommand, SettleReply, SettleRequest, ShowReply, ShowRequest, ShowRoutesReply,
+    StatusReply, StatusRequest,
 };
 use crate::plans::PlanBook;
+use crate::routes::{RouteBook, document_digest};
 
 use super::clock::unix_millis;
 use super::links::LinkTable;
@@ -177,6 +179,52 @@
         Ok(Response::new(reply))
     }
 
+    async fn apply_routes(
+        &self,
+        request: Request<ApplyRoutesRequest>,
+    ) -> Result<Response<ApplyRoutesReply>, Status> {
+        let mut request = request.into_inner();
+        let Some(routes) = &request.routes else {
+            return Err(Status::invalid_argument("the routes are missing"));
+        };
+        RouteBook::try_from(routes).map_err(invalid)?;
+        let Some(address) = self.relay_address(request.relayed)? else {
+            let change = Change::Routes(RouteChange {
+                base_version: request.base_version,
+                digest: document_digest(&routes.document).into(),
+                routes: request.routes,
+            });
+            return self
+                .propose(change, ProposalReply::Routes)
+                .await
+                .map(Response::new);
+        };
+        request.relayed = true;
+        let call = |channel| async move { operator(channel).apply_routes(request).await };
+        let reply = self
+            .links
+            .call(&address, OPERATOR_RELAY_BOUND, call)
+            .await?;
+        Ok(Response::new(reply))
+    }
+
+    async fn show_routes(
+        &self,
+        request: Request<ShowRequest>,
+    ) -> Result<Response<ShowRoutesReply>, Status> {
+        let Some(address) = self.relay_address(request.into_inner().relayed)? else {
+            let ask = |reply| ReplicaInput::ShowRoutes { reply };
+            return self.inputs.ask(ask).await.map(Response::new);
+        };
+        let request = ShowRequest { relayed: true };
+        let call = |channel| async move { operator(channel).show_routes(request).await };
+        let reply = self
+            .links
+            .call(&address, OPERATOR_RELAY_BOUND, call)
+            .await?;
+        Ok(Response::new(reply))
+    }
+
     async fn show_plans(
         &self,
         request: Request<ShowRequest>,
--- a/src/control_server/replica.rs
+++ b/src/control_server/replica.rs
@@ -14,6 +14,7 @@
 use crate::storage::SnapshotMeta;
 use crate::types::TickTime;
 
+use super::answers::{ParkedHeartbeat, WaitingRead};
 use super::clock::TickClock;
 use super::leader::LeaderTables;
 use super::peers::PeerTable;
@@ -21,7 +22,6 @@
 use super::replies::ReplyQueue;
 use super::requests::{ProposalReply, ReplicaInput};
 
-const TICK_INTERVAL: Duration = Duration::from_millis(15);
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 // Inputs handled before one sync; bounds how long an acknowledgement waits for its group.
 const MAX_BATCH: usize = 512;
@@ -37,6 +37,8 @@
     pub(super) view: watch::Sender<LeaderView>,
     pub(super) metrics: cadence::StatsdClient,
     pub(super) claim_retention: Duration,
+    pub(super) tick_interval: Duration,
+    pub(super) election_timeout_min: Duration,
 }
 
 /// State of the thread.
@@ -48,6 +50,8 @@
     pub(super) applied_term: u64,
     pub(super) plan_set: PlanSet,
     pub(super) replicas: Vec<String>,
+    pub(super) parked: Vec<ParkedHeartbeat>,
+    pub(super) reads: Vec<WaitingRead>,
     pending: BTreeMap<u64, ProposalReply>,
     next_token: u64,
     replies: ReplyQueue,
@@ -65,6 +69,8 @@
             applied_term: 0,
             plan_set,
             replicas: Vec::new(),
+            parked: Vec::new(),
+            reads: Vec::new(),
             pending: BTreeMap::new(),
             next_token: 0,
             replies: ReplyQueue::default(),
@@ -89,6 +95,8 @@
             let actions = self.parts.core.flush(self.now())?;
             self.perform(actions)?;
             self.replies.clear();
+            self.release_heartbeats();
+            self.release_reads();
             self.publish_view();
             if is_stopping {
                 return Ok(());
@@ -111,9 +119,11 @@
                 self.step(ReplicaEvent::Message { from, message })?;
             }
             ReplicaInput::Propose { command, reply } => self.propose(command, reply)?,
-            ReplicaInput::Heartbeat { request, reply } => {
-                let _ = reply.send(self.answer_heartbeat(&request));
-            }
+            ReplicaInput::Heartbeat { request, reply } => self.receive_heartbeat(request, reply),
+            ReplicaInput::ShowRoutes { reply } => self.reads.push(WaitingRead {
+                arrived_at: self.now(),
+                reply,
+            }),
             ReplicaInput::Show { reply } => {
                 let _ = reply.send(self.answer_show());
             }
@@ -135,7 +145,7 @@
         if now < self.next_tick {
             return Ok(());
         }
-        self.next_tick = now + TICK_INTERVAL;
+        self.next_tick = now + self.parts.tick_interval;
         self.step(ReplicaEvent::Tick)?;
         if now >= self.next_housekeeping {
             self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
@@ -197,11 +207,16 @@
 
     fn apply(&mut self, index: u64, term: u64, command: &Command, token: Option<u64>) {
         let version = self.parts.state.plans().version();
+        let route_version = self.parts.state.routes().version;
         let result = self.parts.state.apply(index, command);
         self.applied_term = term;
         if self.parts.state.plans().version() != version {
             self.refresh_plans();
         }
+        if self.parts.state.routes().version != route_version {
+            let version = self.parts.state.routes().version;
+            log::info!(event = "routes-in-force", version, index; "");
+        }
         let reply = token.and_then(|token| self.pending.remove(&token));
         if let Some(reply) = reply {
             self.answer_proposal(reply, result);
--- a/src/control_server/requests.rs
+++ b/src/control_server/requests.rs
@@ -7,8 +7,8 @@
 
 use crate::consensus::PeerMessage;
 use crate::generated::{
-    ApplyReply, ClaimReply, Command, HeartbeatReply, HeartbeatRequest, SettleReply, ShowReply,
-    StatusReply,
+    ApplyReply, ApplyRoutesReply, ClaimReply, Command, HeartbeatReply, HeartbeatRequest,
+    SettleReply, ShowReply, ShowRoutesReply, StatusReply,
 };
 
 /// Sends the answer of a call back to its handler.
@@ -33,6 +33,8 @@
         command: Command,
         reply: ProposalReply,
     },
+    /// Question for the routes in force.
+    ShowRoutes { reply: Reply<ShowRoutesReply> },
     /// Question for the lists in force.
     Show { reply: Reply<ShowReply> },
     /// Question for the state of the mesh; a replica without a leader answers for itself.
@@ -45,6 +47,7 @@
 #[derive(Debug)]
 pub(super) enum ProposalReply {
     Apply(Reply<ApplyReply>),
+    Routes(Reply<ApplyRoutesReply>),
     Claim(Reply<ClaimReply>),
     Settle(Reply<SettleReply>),
     /// The replica's own commands.
@@ -56,6 +59,7 @@
         // A handler whose caller went away no longer listens.
         match self {
             Self::Apply(reply) => drop(reply.send(Err(status))),
+            Self::Routes(reply) => drop(reply.send(Err(status))),
             Self::Claim(reply) => drop(reply.send(Err(status))),
             Self::Settle(reply) => drop(reply.send(Err(status))),
             Self::Nobody => {}
--- /dev/null
+++ b/src/control_server/route_port.rs
@@ -0,0 +1,50 @@
+//! Access to the routes for programs that host a replica.
+
+use tonic::{Request, Response, Status};
+
+use crate::error::{MeshError, Result};
+use crate::generated::operator_server::Operator;
+use crate::generated::{
+    ApplyRoutesReply, ApplyRoutesRequest, RouteSet, ShowRequest, ShowRoutesReply,
+};
+
+use super::relay::MeshService;
+
+/// Changes and reads the routes through a replica in this process, which relays to the leader.
+#[derive(Debug, Clone)]
+pub struct RoutePort {
+    service: MeshService,
+}
+
+impl RoutePort {
+    pub(super) fn new(service: MeshService) -> Self {
+        Self { service }
+    }
+
+    /// Proposes routes on top of a version; a resend of an accepted document is accepted again. An error other than
+    /// an invalid value leaves it open whether the change was accepted.
+    pub async fn apply(&self, base_version: u64, routes: RouteSet) -> Result<ApplyRoutesReply> {
+        let request = ApplyRoutesRequest {
+            base_version,
+            routes: Some(routes),
+            relayed: false,
+        };
+        let reply = self.service.apply_routes(Request::new(request)).await;
+        reply.map(Response::into_inner).map_err(unavailable)
+    }
+
+    /// Reads the newest routes; fails if no quorum confirms that they are the newest.
+    pub async fn show(&self) -> Result<ShowRoutesReply> {
+        let request = Request::new(ShowRequest { relayed: false });
+        let reply = self.service.show_routes(request).await;
+        reply.map(Response::into_inner).map_err(unavailable)
+    }
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "used as the function of map_err"
+)]
+fn unavailable(status: Status) -> MeshError {
+    MeshError::ControlUnavailable(status.message().to_owned())
+}
--- a/src/control_server/server.rs
+++ b/src/control_server/server.rs
@@ -1,13 +1,13 @@
 //! Assembly of a replica: listener, services and the replica thread.
 
 use std::net::SocketAddr;
-use std::sync::mpsc::{Receiver, sync_channel};
-use std::time::Duration;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, sync_channel};
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
-use tokio::task::spawn_blocking;
+use tokio::task::{JoinHandle, spawn_blocking};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tonic::transport::Server;
@@ -33,6 +33,7 @@
 use super::replica::{ReplicaParts, ReplicaThread};
 use super::replication::ReplicationService;
 use super::requests::{InputSender, ReplicaInput};
+use super::route_port::RoutePort;
 
 const QUEUED_INPUTS: usize = 16_384;
 // Heartbeats and claims are far smaller; lists and replication use the larger bound.
@@ -45,12 +46,26 @@
 // Calls take less; only a connection that never sent anything stays open longer, and a leader that stops should not
 // hold its place for it.
 const MAX_DRAIN: Duration = Duration::from_millis(1_500);
+// A disk that is full or stalled rarely recovers within less.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
+const TICKS_PER_HEARTBEAT: u32 = 5;
+// A follower misses three heartbeats before it asks for an election.
+const ELECTION_HEARTBEATS_MIN: u32 = 4;
+const ELECTION_HEARTBEATS_MAX: u32 = 8;
 
-/// Runs a replica until `stop` completes or its disk fails.
-pub(super) async fn run_replica(
-    config: ControlConfig,
-    stop: impl Future<Output = ()>,
-) -> Result<()> {
+/// A replica that serves its listener.
+#[derive(Debug)]
+pub struct RunningReplica {
+    service: MeshService,
+    inputs: InputSender,
+    serving: JoinHandle<()>,
+    running: JoinHandle<Result<()>>,
+    drain: CancellationToken,
+    stop_timeout: Duration,
+}
+
+/// Opens the data folder, binds the listener and starts a replica.
+pub async fn start_replica(config: ControlConfig) -> Result<RunningReplica> {
     let bind_failed = |source| {
         MeshError::io(
             format!("cannot listen on {}", config.control_address),
@@ -64,7 +79,14 @@
     let (sender, receiver) = sync_channel(QUEUED_INPUTS);
     let inputs = InputSender::new(sender);
     let (view_sender, view) = watch::channel(LeaderView::default());
-    let thread = build_thread(&config, bound, &inputs, view_sender)?;
+    let builder = ThreadBuilder {
+        config: config.clone(),
+        bound,
+        inputs: inputs.clone(),
+        view: view_sender,
+        runtime: Handle::current(),
+    };
+    let thread = builder.build()?;
     log::info!(event = "listening", address:% = bound, replica_id = config.replica_id; "");
     let drain = CancellationToken::new();
     let service = MeshService {
@@ -72,27 +94,84 @@
         view,
         links: LinkTable::new(&config.mesh_token),
     };
-    let serving = tokio::spawn(serve(listener, service, config.mesh_token, drain.clone()));
-    let mut running = spawn_blocking(move || run_thread(thread, &receiver));
-    tokio::select! {
-        () = stop => {}
-        result = &mut running => return flatten(result),
+    let stop_timeout = config.stop_timeout;
+    let serving = serve(listener, service.clone(), config.mesh_token, drain.clone());
+    Ok(RunningReplica {
+        service,
+        inputs,
+        serving: tokio::spawn(serving),
+        running: spawn_blocking(move || run_thread(&builder, thread, &receiver)),
+        drain,
+        stop_timeout,
+    })
+}
+
+impl RunningReplica {
+    /// Returns access to the routes through this replica.
+    pub fn routes(&self) -> RoutePort {
+        RoutePort::new(self.service.clone())
+    }
+
+    /// Serves until `stop` completes or the disk fails.
+    pub async fn run_until(mut self, stop: impl Future<Output = ()>) -> Result<()> {
+        tokio::select! {
+            () = stop => {}
+            result = &mut self.running => return flatten(result),
+        }
+        log::info!(event = "stopping"; "");
+        self.drain.cancel();
+        let bound = self.stop_timeout.mul_f64(DRAIN_PART).min(MAX_DRAIN);
+        if timeout(bound, self.serving).await.is_err() {
+            log::warn!(event = "calls-abandoned", bound_ms = bound.as_millis() as u64; "");
+        }
+        // The thread may have ended already because the disk failed.
+        let _ = self.inputs.send(ReplicaInput::Stop);
+        let result = flatten(self.running.await);
+        log::info!(event = "stopped"; "");
+        result
     }
-    log::info!(event = "stopping"; "");
-    drain.cancel();
-    let bound = config.stop_timeout.mul_f64(DRAIN_PART).min(MAX_DRAIN);
-    if timeout(bound, serving).await.is_err() {
-        log::warn!(event = "calls-abandoned", bound_ms = bound.as_millis() as u64; "");
+}
+
+/// Runs the thread, and opens the store again after a disk error where the settings ask for it. The state in memory
+/// is dropped with the store, because it is not known what reached the disk.
+fn run_thread(
+    builder: &ThreadBuilder,
+    mut thread: ReplicaThread,
+    inputs: &Receiver<ReplicaInput>,
+) -> Result<()> {
+    loop {
+        let Err(error) = thread.run(inputs) else {
+            return Ok(());
+        };
+        if !builder.config.reopen_after_disk_error {
+            return Err(error);
+        }
+        drop(thread);
+        thread = loop {
+            log::error!(event = "disk-failed", error:% = error, retry_ms = REOPEN_PAUSE.as_millis() as u64; "");
+            if drop_inputs(inputs, REOPEN_PAUSE) {
+                return Ok(());
+            }
+            match builder.build() {
+                Ok(thread) => break thread,
+                Err(error) => log::error!(event = "reopen-failed", error:% = error; ""),
+            }
+        };
+        log::info!(event = "disk-reopened"; "");
     }
-    // The thread may have ended already because the disk failed.
-    let _ = inputs.send(ReplicaInput::Stop);
-    let result = flatten(running.await);
-    log::info!(event = "stopped"; "");
-    result
 }
 
-fn run_thread(mut thread: ReplicaThread, inputs: &Receiver<ReplicaInput>) -> Result<()> {
-    thread.run(inputs)
+/// Drops inputs for a while, so that their callers try another replica; returns whether the replica is to stop.
+fn drop_inputs(inputs: &Receiver<ReplicaInput>, pause: Duration) -> bool {
+    let until = Instant::now() + pause;
+    loop {
+        let wait = until.saturating_duration_since(Instant::now());
+        match inputs.recv_timeout(wait) {
+            Ok(ReplicaInput::Stop) | Err(RecvTimeoutError::Disconnected) => return true,
+            Ok(_) => {}
+            Err(RecvTimeoutError::Timeout) => return false,
+        }
+    }
 }
 
 fn flatten(result: std::result::Result<Result<()>, tokio::task::JoinError>) -> Result<()> {
@@ -102,33 +181,54 @@
     })
 }
 
-fn build_thread(
-    config: &ControlConfig,
+/// What the replica thread is built from, also after a disk error.
+#[derive(Debug)]
+struct ThreadBuilder {
+    config: ControlConfig,
     bound: SocketAddr,
-    inputs: &InputSender,
+    inputs: InputSender,
     view: watch::Sender<LeaderView>,
-) -> Result<ReplicaThread> {
-    let store = FileStore::open(&config.data_folder)?;
-    let clock = TickClock::start();
-    let own = own_info(config, bound);
-    let settings = ReplicaSettings {
+    runtime: Handle,
+}
+
+impl ThreadBuilder {
+    fn build(&self) -> Result<ReplicaThread> {
+        let config = &self.config;
+        let store = FileStore::open(&config.data_folder)?;
+        let clock = TickClock::start();
+        let own = own_info(config, self.bound);
+        let settings = replica_settings(config);
+        let election_timeout_min = settings.election_timeout_min;
+        let initial = initial_members(config, &own);
+        let seed = uuid::Uuid::new_v4().as_u128() as u64;
+        let core = ReplicaCore::new(settings, own, Box::new(store), initial, clock.now(), seed)?;
+        let links = LinkTable::new(&config.mesh_token);
+        Ok(ReplicaThread::new(ReplicaParts {
+            core,
+            state: ControlState::new(),
+            clock,
+            peers: PeerTable::new(self.runtime.clone(), links, self.inputs.clone()),
+            view: self.view.clone(),
+            metrics: metrics_client("ebonyjunction.control", config.metrics_address)?,
+            claim_retention: config.claim_retention,
+            tick_interval: config.heartbeat_interval / TICKS_PER_HEARTBEAT,
+            election_timeout_min,
+        }))
+    }
+}
+
+fn replica_settings(config: &ControlConfig) -> ReplicaSettings {
+    ReplicaSettings {
+        heartbeat_interval: config.heartbeat_interval,
+        election_timeout_min: config.heartbeat_interval * ELECTION_HEARTBEATS_MIN,
+        election_timeout_max: config.heartbeat_interval * ELECTION_HEARTBEATS_MAX,
         snapshot_entries: config.snapshot_entries,
+        max_voters: config.max_voters,
+        silent_voter_timeout: config.silent_voter_timeout,
+        min_voters: config.min_voters,
         bootstrap: config.bootstrap,
         ..ReplicaSettings::default()
-    };
-    let initial = initial_members(config, &own);
-    let seed = uuid::Uuid::new_v4().as_u128() as u64;
-    let core = ReplicaCore::new(settings, own, Box::new(store), initial, clock.now(), seed)?;
-    let links = LinkTable::new(&config.mesh_token);
-    Ok(ReplicaThread::new(ReplicaParts {
-        core,
-        state: ControlState::new(),
-        clock,
-        peers: PeerTable::new(Handle::current(), links, inputs.clone()),
-        view,
-        metrics: metrics_client("ebonyjunction.control", config.metrics_address)?,
-        claim_retention: config.claim_retention,
-    }))
+    }
 }
 
 fn own_info(config: &ControlConfig, bound: SocketAddr) -> ReplicaInfo {
--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -4,6 +4,7 @@
 
 mod claims;
 mod history;
+mod route_history;
 
 use std::sync::Arc;
 
@@ -13,7 +14,7 @@
 use crate::generated::command::Change;
 use crate::generated::{
     ClaimCommand, ClaimDecision, Command, ControlSnapshot, Membership, PlanChange, PlanSet,
-    SettleCommand,
+    RouteDelta, RouteSet, SettleCommand,
 };
 use crate::plans::PlanBook;
 use crate::types::{AttemptId, IdempotencyKey};
@@ -21,12 +22,16 @@
 use claims::{ClaimScope, ClaimTable};
 use history::ChangeHistory;
 pub use history::PlanResult;
+use route_history::RouteHistory;
+pub use route_history::RouteResult;
 
 /// What a committed command led to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ApplyResult {
     /// The command has no result to report.
     None,
+    /// Result of a change to the routes.
+    Routes(RouteResult),
     /// Result of a change to the plans; the same for each resend of the change id.
     Plans(PlanResult),
     /// Decision on a claim, with the attempt that holds the key or the claiming attempt.
@@ -46,6 +51,7 @@
     plans: Arc<PlanBook>,
     history: ChangeHistory,
     claims: ClaimTable,
+    routes: RouteHistory,
     membership: Membership,
     last_index: u64,
 }
@@ -64,6 +70,7 @@
         self.last_index = index;
         match &command.change {
             Some(Change::Plans(change)) => ApplyResult::Plans(self.apply_plans(change)),
+            Some(Change::Routes(change)) => ApplyResult::Routes(self.routes.apply(change)),
             Some(Change::Claim(claim)) => self.apply_claim(claim),
             Some(Change::Settle(settle)) => self.apply_settle(settle),
             Some(Change::Expire(expire)) => {
@@ -83,6 +90,16 @@
         &self.plans
     }
 
+    /// Returns the routes in force, with the document that they came from.
+    pub fn routes(&self) -> &RouteSet {
+        self.routes.current()
+    }
+
+    /// Returns what a node that holds the given version of the routes needs.
+    pub fn route_delta(&self, held_version: u64) -> RouteDelta {
+        self.routes.delta_since(held_version)
+    }
+
     /// Returns the result of a change that was applied before.
     pub fn change_result(&self, change_id: &str) -> Option<PlanResult> {
         self.history.result_of(change_id)
@@ -124,6 +141,8 @@
             last_index: self.last_index,
             // The term is kept with the snapshot file, not in the state.
             last_term: 0,
+            routes: Some(self.routes.current().clone()),
+            route_digests: self.routes.digests(),
         };
         snapshot.encode_to_vec()
     }
@@ -138,6 +157,10 @@
             plans: Arc::new(plans),
             history: ChangeHistory::from_rows(snapshot.recent_changes),
             claims,
+            routes: RouteHistory::from_parts(
+                snapshot.routes.unwrap_or_default(),
+                snapshot.route_digests,
+            ),
             membership: snapshot.membership.unwrap_or_default(),
             last_index: snapshot.last_index,
         };
--- /dev/null
+++ b/src/control_state/route_history.rs
@@ -0,0 +1,91 @@
+//! Routes in force, recent versions and digests of accepted changes.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+
+use crate::generated::{RouteChange, RouteDelta, RouteSet};
+use crate::routes::{RouteBook, route_delta};
+
+/// Versions kept for differences; a node further behind gets everything. Heartbeats come every second, and operators
+/// send a few versions a second at most.
+const MAX_VERSIONS: usize = 16;
+/// Digests kept to recognise a resent change, several days of changes at the design size.
+const MAX_DIGESTS: usize = 2_048;
+
+/// Result of one change to the routes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteResult {
+    /// Whether the change is or was in force.
+    pub accepted: bool,
+    /// Version in force.
+    pub version: u64,
+}
+
+/// Routes with their recent past.
+#[derive(Debug, Default)]
+pub(super) struct RouteHistory {
+    current: RouteSet,
+    earlier: VecDeque<RouteSet>,
+    digests: VecDeque<Bytes>,
+}
+
+impl RouteHistory {
+    pub(super) fn from_parts(current: RouteSet, digests: Vec<Bytes>) -> Self {
+        Self {
+            current,
+            earlier: VecDeque::new(),
+            digests: digests.into(),
+        }
+    }
+
+    pub(super) fn current(&self) -> &RouteSet {
+        &self.current
+    }
+
+    pub(super) fn digests(&self) -> Vec<Bytes> {
+        self.digests.iter().cloned().collect()
+    }
+
+    /// Takes a change over if it builds on the version in force. A document that was accepted before is accepted again
+    /// without effect.
+    pub(super) fn apply(&mut self, change: &RouteChange) -> RouteResult {
+        let is_resend = self.digests.contains(&change.digest);
+        let accepted = is_resend || self.replace(change);
+        RouteResult {
+            accepted,
+            version: self.current.version,
+        }
+    }
+
+    fn replace(&mut self, change: &RouteChange) -> bool {
+        let Some(routes) = &change.routes else {
+            return false;
+        };
+        let is_next = change.base_version == self.current.version
+            && routes.version > self.current.version
+            && RouteBook::try_from(routes).is_ok();
+        if !is_next {
+            return false;
+        }
+        let mut replaced = std::mem::replace(&mut self.current, routes.clone());
+        replaced.document = Bytes::new();
+        self.earlier.push_back(replaced);
+        if self.earlier.len() > MAX_VERSIONS {
+            self.earlier.pop_front();
+        }
+        self.digests.push_back(change.digest.clone());
+        if self.digests.len() > MAX_DIGESTS {
+            self.digests.pop_front();
+        }
+        true
+    }
+
+    pub(super) fn delta_since(&self, held_version: u64) -> RouteDelta {
+        let base = self
+            .earlier
+            .iter()
+            .find(|set| held_version > 0 && set.version == held_version);
+        route_delta(base, &self.current)
+    }
+}
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,30 @@
+//! Routed requests: entry for clients beside a node, hops between nodes, and hand-over to the own target.
+//!
+//! The node beside a target has the last word on slots, drain and identity. A refusal there proves that the request has
+//! not run, so the entry may try another target without spending a retry.
+
+mod announced_target;
+mod answer;
+mod config;
+mod connection;
+mod entry;
+mod framing;
+mod gate;
+mod hop;
+mod http_api;
+mod metrics;
+mod peer_client;
+mod peer_server;
+mod run;
+mod state;
+mod sync;
+mod target_client;
+
+pub use announced_target::{AnnouncedTarget, ReportVerdict, TargetReport};
+pub use answer::{Answer, HopResult};
+pub use config::{GatewayConfig, HeaderNames};
+pub use framing::{FramedRequest, FramingError, RequestFramer};
+pub use http_api::{ApiHandler, ApiRequest, ApiResponse, serve_api};
+pub use metrics::{MetricsPage, serve_metrics};
+pub use run::{RunningGateway, start_gateway};
+pub use state::GatewayState;
--- /dev/null
+++ b/src/gateway/entry.rs
@@ -0,0 +1,469 @@
+//! Entry of requests: route, choice of a target, repeats, and the final answer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::header::{HOST, HeaderValue};
+use http::{HeaderMap, StatusCode};
+use rand::RngCore;
+use tokio::time::timeout_at;
+use uuid::Uuid;
+
+use crate::routes::{RepeatKind, RouteBook, RouteEntry, RouteKey};
+use crate::routing::{LoadReport, RouteChoice, RouteDecision, RouteRequest, SendResult, TargetKey};
+use crate::types::{AttemptId, PriorityClass, RefusalReason, RequestPriority};
+
+use super::answer::{Answer, HopResult};
+use super::framing::FramedRequest;
+use super::hop::{HopRequest, strip_connection_headers};
+use super::state::{ActiveGuard, GatewayState, lock};
+
+/// Targets that may refuse a request before its client is told to come back; each costs a round trip.
+const MAX_REFUSALS: u32 = 4;
+/// Time after which a client may come back where no better one is known: about a heartbeat.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Request of a client, or of the own target.
+#[derive(Debug)]
+pub(super) struct EntryRequest {
+    pub(super) framed: FramedRequest,
+    /// Sent by the own target while it runs another request.
+    pub(super) is_nested: bool,
+    pub(super) arrived_at: Instant,
+}
+
+/// Spreads the requests of a route over its parts in proportion to their weights.
+#[derive(Debug, Default)]
+pub(super) struct PartCounters {
+    by_route: BTreeMap<String, Vec<i64>>,
+}
+
+impl PartCounters {
+    /// Smooth weighted round robin: the part that is furthest behind its share is next.
+    fn next_part(&mut self, route: &RouteEntry) -> usize {
+        if route.parts.len() == 1 {
+            return 0;
+        }
+        let counters = self.by_route.entry(route.name.clone()).or_default();
+        counters.resize(route.parts.len(), 0);
+        let mut total = 0;
+        for (counter, part) in counters.iter_mut().zip(&route.parts) {
+            *counter += i64::from(part.weight);
+            total += i64::from(part.weight);
+        }
+        let weighted = (0..counters.len()).filter(|index| route.parts[*index].weight > 0);
+        let chosen = weighted.max_by_key(|index| counters[*index]).unwrap_or(0);
+        counters[chosen] -= total;
+        chosen
+    }
+}
+
+/// Answers one request.
+pub(super) async fn serve(state: &Arc<GatewayState>, request: EntryRequest) -> Answer {
+    let _active = ActiveGuard::new(&state.active);
+    let arrived_at = request.arrived_at;
+    let names = &state.config.names;
+    let request_id = request.framed.headers.get(&names.request_id).cloned();
+    let mut answer = match request_id.clone() {
+        Some(request_id) => route(state, request, request_id).await,
+        None => Answer::own(StatusCode::BAD_REQUEST, "request-id-missing"),
+    };
+    if let Some(request_id) = request_id {
+        answer
+            .headers
+            .entry(&names.request_id)
+            .or_insert(request_id);
+    }
+    state.metrics.time("request", arrived_at.elapsed());
+    answer
+}
+
+async fn route(
+    state: &Arc<GatewayState>,
+    request: EntryRequest,
+    request_id: HeaderValue,
+) -> Answer {
+    let book = state.book();
+    let id = request_id.to_str().unwrap_or("malformed").to_owned();
+    if book.version() == 0 {
+        log::info!("event=refused request_id={id} reason=no-routes");
+        state.metrics.count("refused.no_routes");
+        return refusal(state, RefusalReason::NoTarget, Duration::ZERO);
+    }
+    let path = request.framed.target.split('?').next().unwrap_or_default();
+    let Some(key) = book.find(&request.framed.host, path) else {
+        let version = book.version();
+        log::info!("event=refused request_id={id} reason=no-route version={version}");
+        state.metrics.count("refused.no_route");
+        return Answer::own(StatusCode::NOT_FOUND, "no-route");
+    };
+    let mut exchange = Exchange::new(state, &book, key, request, request_id, id);
+    state.record_first(&exchange.hop.service);
+    let answer = exchange.run().await;
+    exchange.log_answer(&answer);
+    answer
+}
+
+/// One request on its way through attempts at targets.
+#[derive(Debug)]
+struct Exchange<'a> {
+    state: &'a GatewayState,
+    route: &'a RouteEntry,
+    version: u64,
+    id: String,
+    hop: HopRequest,
+    arrived_at: Instant,
+    objective_at: Instant,
+    end_at: Instant,
+    /// Targets that have refused the request or may have run it.
+    excluded: Vec<TargetKey>,
+    attempts: u32,
+    refusals: u32,
+}
+
+/// What to do after an attempt.
+#[derive(Debug)]
+enum NextStep {
+    Answer(Answer),
+    TryAnother,
+}
+
+impl<'a> Exchange<'a> {
+    fn new(
+        state: &'a GatewayState,
+        book: &'a RouteBook,
+        key: RouteKey,
+        request: EntryRequest,
+        request_id: HeaderValue,
+        id: String,
+    ) -> Self {
+        let route = book.route(key);
+        let part = lock(&state.counters).next_part(route);
+        let EntryRequest {
+            framed,
+            is_nested,
+            arrived_at,
+        } = request;
+        let mut headers = framed.headers;
+        let deadline = read_deadline(&headers, state).unwrap_or(route.timeout);
+        strip_connection_headers(&mut headers);
+        headers.remove(HOST);
+        let names = &state.config.names;
+        for name in [&names.deadline_ms, &names.caller, &names.expected_target] {
+            headers.remove(name);
+        }
+        let hop = HopRequest {
+            method: framed.method,
+            target: framed.target,
+            host: framed.host,
+            headers,
+            body: framed.body,
+            service: route.parts[part].service.clone(),
+            caller: state.config.service.clone(),
+            request_id,
+            attempt_id: new_attempt_id(),
+            is_nested,
+            is_at_most_once: route.repeat_kind == RepeatKind::AtMostOnce,
+            urgency: route.urgency,
+            objective: route.objective,
+            timeout: route.timeout,
+        };
+        Self {
+            state,
+            route,
+            version: book.version(),
+            id,
+            hop,
+            arrived_at,
+            objective_at: arrived_at + route.objective,
+            end_at: arrived_at + deadline.min(route.timeout),
+            excluded: Vec::new(),
+            attempts: 0,
+            refusals: 0,
+        }
+    }
+
+    async fn run(&mut self) -> Answer {
+        loop {
+            if Instant::now() >= self.end_at {
+                return self.expired();
+            }
+            let choice = match self.choose() {
+                Ok(choice) => choice,
+                Err(answer) => return *answer,
+            };
+            match self.attempt(choice).await {
+                NextStep::Answer(answer) => return answer,
+                NextStep::TryAnother => {}
+            }
+        }
+    }
+
+    fn choose(&self) -> Result<RouteChoice, Box<Answer>> {
+        let request = RouteRequest {
+            service: &self.hop.service,
+            endpoint: &self.route.name,
+            priority: RequestPriority::lowest_of(class_of(self.route.urgency)),
+            excluded: &self.excluded,
+        };
+        let mut rng = lock(&self.state.rng);
+        let rng: &mut dyn RngCore = &mut *rng;
+        let mut table = lock(&self.state.table);
+        match table.choose(self.state.now(), &request, rng) {
+            RouteDecision::Send(choice) => {
+                table.start(choice.key);
+                Ok(choice)
+            }
+            RouteDecision::Refuse {
+                reason,
+                retry_after,
+            } => {
+                drop(table);
+                Err(Box::new(self.give_up(reason, retry_after)))
+            }
+        }
+    }
+
+    async fn attempt(&mut self, choice: RouteChoice) -> NextStep {
+        let now = Instant::now();
+        self.hop.attempt_id = new_attempt_id();
+        self.hop.timeout = self.end_at.saturating_duration_since(now);
+        self.hop.objective = self.objective_at.saturating_duration_since(now);
+        let in_flight = InFlight {
+            state: self.state,
+            key: Some(choice.key),
+        };
+        let is_own = choice.node_id == self.state.node_id;
+        let sending = async {
+            if is_own {
+                self.state.gate.handle(self.hop.clone()).await
+            } else {
+                self.state.peers.send(choice.address, &self.hop).await
+            }
+        };
+        let result = timeout_at(self.end_at.into(), sending).await;
+        let span = now.elapsed();
+        let Ok(result) = result else {
+            in_flight.record(self.route, span, SendResult::Failed, LoadReport::default());
+            self.log_attempt(&choice, "timeout", "", span);
+            self.attempts += 1;
+            return NextStep::Answer(self.expired());
+        };
+        self.excluded.push(choice.key);
+        match result {
+            HopResult::Ran { answer, wait } => {
+                let is_failure = answer.status.is_server_error();
+                let sent = if is_failure {
+                    SendResult::Failed
+                } else {
+                    SendResult::Answered
+                };
+                in_flight.record(self.route, span, sent, load_report(wait));
+                self.log_attempt(&choice, "ran", answer.status.as_str(), span);
+                self.attempts += 1;
+                self.after_answer(answer)
+            }
+            HopResult::NotRun { reason, wait } => {
+                let sent = SendResult::Refused(reason);
+                in_flight.record(self.route, span, sent, load_report(wait));
+                self.log_attempt(&choice, "not-run", reason.as_str(), span);
+                self.after_refusal(reason, wait)
+            }
+            HopResult::Unknown { detail } => {
+                in_flight.record(self.route, span, SendResult::Failed, LoadReport::default());
+                self.log_attempt(&choice, "unknown", &detail, span);
+                self.attempts += 1;
+                self.after_loss(&choice, is_own).await
+            }
+        }
+    }
+
+    fn after_answer(&self, answer: Answer) -> NextStep {
+        if !answer.status.is_server_error() || !self.may_repeat() {
+            return NextStep::Answer(truthful(answer));
+        }
+        NextStep::TryAnother
+    }
+
+    fn after_refusal(&mut self, reason: RefusalReason, wait: Duration) -> NextStep {
+        self.refusals += 1;
+        let has_arrived = matches!(
+            reason,
+            RefusalReason::TargetRefused | RefusalReason::TargetReplaced
+        );
+        // A request that reached a target counts in the budget of retries even if the target refused it.
+        let may_go_on = !has_arrived || self.state.try_retry(&self.hop.service);
+        if self.refusals >= MAX_REFUSALS || !may_go_on {
+            return NextStep::Answer(self.give_up(reason, wait));
+        }
+        NextStep::TryAnother
+    }
+
+    async fn after_loss(&mut self, choice: &RouteChoice, is_own: bool) -> NextStep {
+        if self.may_repeat() {
+            return NextStep::TryAnother;
+        }
+        if self.hop.is_at_most_once && !is_own {
+            let attempt_id = self.hop.attempt_id;
+            let is_unrun = self.state.peers.cancel(choice.address, attempt_id).await;
+            log::info!(
+                "event=cancelled request_id={} peer={} not_run={is_unrun}",
+                self.id,
+                choice.address
+            );
+            if is_unrun {
+                self.attempts -= 1;
+                return self.after_refusal(RefusalReason::AnswerLost, Duration::ZERO);
+            }
+        }
+        NextStep::Answer(Answer::own(
+            StatusCode::BAD_GATEWAY,
+            RefusalReason::AnswerLost.as_str(),
+        ))
+    }
+
+    /// Decides whether the request may be sent again although an earlier attempt may have run.
+    fn may_repeat(&self) -> bool {
+        !self.hop.is_at_most_once
+            && self.attempts < self.route.attempts
+            && Instant::now() < self.end_at
+            && self.state.try_retry(&self.hop.service)
+    }
+
+    /// Answers at the end of the time. Only a request that no target may have run is refused with a promise.
+    fn expired(&self) -> Answer {
+        if self.attempts == 0 {
+            return self.give_up(RefusalReason::DeadlineExceeded, Duration::ZERO);
+        }
+        Answer::own(
+            StatusCode::GATEWAY_TIMEOUT,
+            RefusalReason::DeadlineExceeded.as_str(),
+        )
+    }
+
+    fn give_up(&self, reason: RefusalReason, wait: Duration) -> Answer {
+        if self.attempts > 0 {
+            return Answer::own(StatusCode::BAD_GATEWAY, reason.as_str());
+        }
+        refusal(self.state, reason, wait)
+    }
+
+    fn log_attempt(&self, choice: &RouteChoice, outcome: &str, detail: &str, span: Duration) {
+        self.state.metrics.count(match outcome {
+            "ran" => "attempt.ran",
+            "not-run" => "attempt.not_run",
+            "timeout" => "attempt.timeout",
+            _ => "attempt.unknown",
+        });
+        log::info!(
+            "event=attempt request_id={} service={} node={} peer={} outcome={outcome} detail={detail:?} span_ms={}",
+            self.id,
+            self.hop.service,
+            choice.node_id,
+            choice.address,
+            span.as_millis()
+        );
+    }
+
+    fn log_answer(&self, answer: &Answer) {
+        self.state.metrics.count(match answer.status.as_u16() {
+            200..300 => "answer.success",
+            503 => "answer.refused",
+            504 => "answer.timeout",
+            _ => "answer.failure",
+        });
+        log::info!(
+            "event=answered request_id={} route={} version={} nested={} status={} attempts={} refusals={} span_ms={}",
+            self.id,
+            self.route.name,
+            self.version,
+            self.hop.is_nested,
+            answer.status.as_u16(),
+            self.attempts,
+            self.refusals,
+            self.arrived_at.elapsed().as_millis()
+        );
+    }
+}
+
+/// Ends an attempt that was given up without a verdict on its target.
+#[derive(Debug)]
+struct InFlight<'a> {
+    state: &'a GatewayState,
+    key: Option<TargetKey>,
+}
+
+impl InFlight<'_> {
+    fn record(mut self, route: &RouteEntry, span: Duration, sent: SendResult, report: LoadReport) {
+        let Some(key) = self.key.take() else {
+            return;
+        };
+        let now = self.state.now();
+        lock(&self.state.table).record(now, key, &route.name, span, sent, &report);
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            lock(&self.state.table).cancel_started(key);
+        }
+    }
+}
+
+/// Replaces a status that would promise that the request has not run.
+fn truthful(answer: Answer) -> Answer {
+    let promises = matches!(
+        answer.status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    );
+    if promises {
+        let reason = RefusalReason::TargetRefused.as_str();
+        return Answer::own(StatusCode::BAD_GATEWAY, reason);
+    }
+    answer
+}
+
+fn load_report(wait: Duration) -> LoadReport {
+    LoadReport {
+        queue_wait: Some(wait),
+        ..LoadReport::default()
+    }
+}
+
+fn refusal(state: &GatewayState, reason: RefusalReason, wait: Duration) -> Answer {
+    let wait = if wait.is_zero() { RETRY_AFTER } else { wait };
+    let wait = state.jitter(wait.max(MIN_RETRY_AFTER));
+    Answer::own(StatusCode::SERVICE_UNAVAILABLE, reason.as_str()).with_retry_after(wait)
+}
+
+fn read_deadline(headers: &HeaderMap, state: &GatewayState) -> Option<Duration> {
+    let value = headers.get(&state.config.names.deadline_ms)?;
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    if millis.is_none() {
+        log::info!("event=deadline_malformed value={value:?}");
+    }
+    millis.map(Duration::from_millis)
+}
+
+/// Returns the class that stands for a rank; only the order matters here.
+fn class_of(urgency: u32) -> PriorityClass {
+    match urgency {
+        0 => PriorityClass::Critical,
+        1 => PriorityClass::Upload,
+        2 => PriorityClass::Interactive,
+        _ => PriorityClass::Read,
+    }
+}
+
+fn new_attempt_id() -> AttemptId {
+    AttemptId::from_uuid(Uuid::new_v4())
+}
--- /dev/null
+++ b/src/gateway/gate.rs
@@ -0,0 +1,459 @@
+//! Gate before the own target: the last word on slots, drain, identity and deadline.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use http::header::{HOST, HeaderName, HeaderValue};
+use http::{Request, Uri};
+use http_body_util::Full;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::admission::{SlotAction, SlotDecision, SlotQueue, SlotRequest, WaitKey};
+use crate::retry::CancelTable;
+use crate::routing::TargetState;
+use crate::types::{AttemptId, RefusalReason, TickTime};
+
+use super::announced_target::{AnnouncedTarget, ReportVerdict, TargetReport};
+use super::answer::HopResult;
+use super::config::{GatewayConfig, HeaderNames};
+use super::hop::HopRequest;
+use super::state::lock;
+use super::target_client::{ExchangeFailure, TargetClient};
+
+/// Reports that may be missing before the target counts as gone; one may be late by a second.
+const MISSED_REPORTS: u32 = 3;
+/// Failed connections in a row after which the target counts as gone until its next report. A target resets
+/// connections beyond its bound, so one says little.
+const LOST_AFTER_FAILURES: u32 = 2;
+
+/// Gate before the own target.
+#[derive(Debug)]
+pub struct TargetGate {
+    shared: Arc<GateShared>,
+}
+
+#[derive(Debug)]
+struct GateShared {
+    started: Instant,
+    names: HeaderNames,
+    patience: Duration,
+    client: TargetClient,
+    state: Mutex<GateState>,
+}
+
+#[derive(Debug)]
+struct GateState {
+    target: AnnouncedTarget,
+    queue: SlotQueue,
+    waiting: BTreeMap<WaitKey, oneshot::Sender<Result<(), Duration>>>,
+    /// Attempts that may not be repeated and have been handed over.
+    handed_over: CancelTable,
+    cancelled: CancelTable,
+    connect_failures: u32,
+    is_stopping: bool,
+}
+
+/// What is known about an attempt that was to be cancelled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CancelVerdict {
+    NotRun,
+    Unknown,
+}
+
+impl TargetGate {
+    pub(super) fn new(config: &GatewayConfig) -> Self {
+        let state = GateState {
+            target: AnnouncedTarget::default(),
+            queue: SlotQueue::new(0),
+            waiting: BTreeMap::new(),
+            handed_over: CancelTable::new(),
+            cancelled: CancelTable::new(),
+            connect_failures: 0,
+            is_stopping: false,
+        };
+        Self {
+            shared: Arc::new(GateShared {
+                started: Instant::now(),
+                names: config.names.clone(),
+                patience: config.report_interval * MISSED_REPORTS,
+                client: TargetClient::new(config.target_address, config.names.clone()),
+                state: Mutex::new(state),
+            }),
+        }
+    }
+
+    /// Takes a report of the target over.
+    pub fn report(&self, report: TargetReport) -> ReportVerdict {
+        let now = self.shared.now();
+        let mut state = lock(&self.shared.state);
+        let verdict = state.target.report(now, report);
+        if verdict == ReportVerdict::NewIncarnation {
+            self.shared.client.clear();
+        }
+        if verdict != ReportVerdict::Outdated {
+            state.connect_failures = 0;
+        }
+        state.follow_target(now);
+        verdict
+    }
+
+    /// Takes over that a target has left; returns whether it was in use.
+    pub fn remove(&self, id: &str) -> bool {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+        let unix_ms = elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64);
+        let now = self.shared.now();
+        let mut state = lock(&self.shared.state);
+        let is_removed = state.target.remove(id, unix_ms);
+        state.follow_target(now);
+        is_removed
+    }
+
+    /// Refuses waiting and new requests, because the process stops.
+    pub(super) fn stop(&self) {
+        let now = self.shared.now();
+        let mut state = lock(&self.shared.state);
+        state.is_stopping = true;
+        state.follow_target(now);
+    }
+
+    /// Returns the target with the state that other nodes should know.
+    pub(super) fn announcement(&self) -> Option<(TargetReport, TargetState)> {
+        let state = lock(&self.shared.state);
+        let current = state.target.current()?.clone();
+        let announced = if state.is_stopping {
+            TargetState::Leaving
+        } else if state.ready(self.shared.oldest_report()).is_some() {
+            TargetState::Ready
+        } else if current.state == TargetState::Leaving {
+            TargetState::Leaving
+        } else {
+            TargetState::Down
+        };
+        Some((current, announced))
+    }
+
+    /// Returns the state that other nodes should know.
+    pub fn announced_state(&self) -> Option<TargetState> {
+        self.announcement().map(|(_, state)| state)
+    }
+
+    /// Returns the numbers of running and waiting requests.
+    pub(super) fn load(&self) -> (u32, usize) {
+        let state = lock(&self.shared.state);
+        (state.queue.running(), state.queue.waiting())
+    }
+
+    /// Refuses requests that can no longer start in time; to be called regularly.
+    pub(super) fn tick(&self) {
+        let now = self.shared.now();
+        let mut state = lock(&self.shared.state);
+        let actions = state.queue.expire(now);
+        state.perform(now, actions);
+        state.cancelled.expire(now);
+        state.handed_over.expire(now);
+    }
+
+    /// Forbids an attempt; the answer is final, because a later copy is refused.
+    pub(super) fn cancel(&self, attempt_id: AttemptId) -> CancelVerdict {
+        let now = self.shared.now();
+        let mut state = lock(&self.shared.state);
+        if state.handed_over.is_cancelled(attempt_id) {
+            return CancelVerdict::Unknown;
+        }
+        state.cancelled.cancel(now, attempt_id);
+        CancelVerdict::NotRun
+    }
+
+    /// Runs a request at the target. Dropping the future gives the request up, unless it may run only once and has been
+    /// handed over.
+    pub(super) async fn handle(&self, request: HopRequest) -> HopResult {
+        let shared = Arc::clone(&self.shared);
+        let deadline = Instant::now() + request.timeout;
+        let slot = match shared.acquire(&request).await {
+            Ok(slot) => slot,
+            Err((reason, wait)) => return HopResult::NotRun { reason, wait },
+        };
+        if !request.is_at_most_once {
+            return shared.hand_over(request, slot, deadline).await;
+        }
+        let running = tokio::spawn(async move { shared.hand_over(request, slot, deadline).await });
+        running.await.unwrap_or_else(|error| HopResult::Unknown {
+            detail: format!("the request's task failed: {error}"),
+        })
+    }
+}
+
+type Refusal = (RefusalReason, Duration);
+
+impl GateShared {
+    fn now(&self) -> TickTime {
+        TickTime::from_start(self.started.elapsed())
+    }
+
+    fn oldest_report(&self) -> TickTime {
+        let now = self.now().since_start();
+        TickTime::from_start(now.saturating_sub(self.patience))
+    }
+
+    /// Waits for a slot and checks that the target may still be handed the request.
+    async fn acquire(self: &Arc<Self>, request: &HopRequest) -> Result<SlotGuard, Refusal> {
+        let mut place = {
+            let now = self.now();
+            let mut state = lock(&self.state);
+            state.check(self.oldest_report(), request)?;
+            let slot_request = SlotRequest {
+                is_nested: request.is_nested,
+                urgency: request.urgency,
+                objective: now + request.objective,
+                deadline: now + request.timeout,
+            };
+            let (decision, actions) = state.queue.offer(now, slot_request);
+            state.perform(now, actions);
+            match decision {
+                SlotDecision::Start => return Ok(SlotGuard::new(Arc::clone(self))),
+                SlotDecision::Refuse { wait } => return Err((RefusalReason::QueueFull, wait)),
+                SlotDecision::Wait(key) => {
+                    let (sender, grant) = oneshot::channel();
+                    state.waiting.insert(key, sender);
+                    WaitGuard {
+                        shared: Arc::clone(self),
+                        key: Some(key),
+                        grant,
+                    }
+                }
+            }
+        };
+        let granted = (&mut place.grant).await;
+        place.key = None;
+        match granted {
+            Ok(Ok(())) => {}
+            Ok(Err(wait)) => return Err((RefusalReason::Displaced, wait)),
+            Err(_) => return Err((RefusalReason::Stopping, Duration::ZERO)),
+        }
+        let slot = SlotGuard::new(Arc::clone(self));
+        lock(&self.state).check(self.oldest_report(), request)?;
+        Ok(slot)
+    }
+
+    async fn hand_over(
+        self: Arc<Self>,
+        request: HopRequest,
+        mut slot: SlotGuard,
+        deadline: Instant,
+    ) -> HopResult {
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let target_id = {
+            let now = self.now();
+            let mut state = lock(&self.state);
+            let id = state.ready(self.oldest_report()).map(|it| it.id.clone());
+            if id.is_some() && request.is_at_most_once {
+                state.handed_over.cancel(now, request.attempt_id);
+            }
+            id
+        };
+        let Some(target_id) = target_id else {
+            return HopResult::NotRun {
+                reason: RefusalReason::TargetDown,
+                wait: Duration::ZERO,
+            };
+        };
+        let message = match self.message(&request, &target_id, time_left) {
+            Ok(message) => message,
+            Err(detail) => {
+                log::warn!("event=hand_over_failed error={detail:?}");
+                return HopResult::NotRun {
+                    reason: RefusalReason::BadRequest,
+                    wait: Duration::ZERO,
+                };
+            }
+        };
+        let started = Instant::now();
+        let exchange = self
+            .client
+            .exchange(message, &request.request_id, request.is_at_most_once);
+        let Ok(outcome) = timeout(time_left, exchange).await else {
+            return HopResult::Unknown {
+                detail: "the target did not answer in time".to_owned(),
+            };
+        };
+        let mut result = self.note_outcome(outcome);
+        if let HopResult::Ran { wait, .. } = &mut result {
+            slot.service_time = Some(started.elapsed());
+            *wait = lock(&self.state).queue.expected_wait();
+        }
+        result
+    }
+
+    fn note_outcome(&self, outcome: Result<HopResult, ExchangeFailure>) -> HopResult {
+        let mut state = lock(&self.state);
+        match outcome {
+            Ok(result) => {
+                state.connect_failures = 0;
+                if let HopResult::NotRun {
+                    reason: RefusalReason::TargetReplaced,
+                    ..
+                } = result
+                {
+                    // The report of the incarnation that has the address is on the way.
+                    state.target.mark_lost();
+                    log::info!("event=target_lost reason=identity");
+                }
+                result
+            }
+            Err(ExchangeFailure::Connect(detail)) => {
+                state.connect_failures += 1;
+                if state.connect_failures >= LOST_AFTER_FAILURES {
+                    state.target.mark_lost();
+                    log::info!("event=target_lost reason=connect error={detail:?}");
+                }
+                HopResult::NotRun {
+                    reason: RefusalReason::TargetDown,
+                    wait: Duration::ZERO,
+                }
+            }
+            Err(ExchangeFailure::Broken(detail)) => HopResult::Unknown { detail },
+        }
+    }
+
+    fn message(
+        &self,
+        request: &HopRequest,
+        target_id: &str,
+        time_left: Duration,
+    ) -> Result<Request<Full<Bytes>>, String> {
+        let uri = Uri::try_from(&request.target).map_err(|error| error.to_string())?;
+        let mut message = Request::new(Full::new(request.body.clone()));
+        *message.method_mut() = request.method.clone();
+        *message.uri_mut() = uri;
+        let headers = message.headers_mut();
+        headers.clone_from(&request.headers);
+        let mut set = |name: &HeaderName, value: &str| {
+            let value = HeaderValue::from_str(value).map_err(|error| error.to_string())?;
+            headers.insert(name, value);
+            Ok::<_, String>(())
+        };
+        set(&HOST, &request.host)?;
+        set(&self.names.caller, request.caller.as_str())?;
+        set(&self.names.expected_target, target_id)?;
+        set(&self.names.deadline_ms, &time_left.as_millis().to_string())?;
+        Ok(message)
+    }
+}
+
+impl GateState {
+    fn ready(&self, oldest: TickTime) -> Option<&TargetReport> {
+        self.target.ready(oldest).filter(|_| !self.is_stopping)
+    }
+
+    fn check(&self, oldest: TickTime, request: &HopRequest) -> Result<(), Refusal> {
+        let refuse = |reason| Err((reason, Duration::ZERO));
+        if self.is_stopping {
+            return refuse(RefusalReason::Stopping);
+        }
+        if self.cancelled.is_cancelled(request.attempt_id) {
+            return refuse(RefusalReason::Cancelled);
+        }
+        // A copy of an attempt that was handed over must not run again.
+        if request.is_at_most_once && self.handed_over.is_cancelled(request.attempt_id) {
+            return refuse(RefusalReason::DuplicateInFlight);
+        }
+        let Some(target) = self.ready(oldest) else {
+            let is_leaving = self
+                .target
+                .current()
+                .is_some_and(|target| target.state == TargetState::Leaving);
+            return refuse(if is_leaving {
+                RefusalReason::TargetLeaving
+            } else {
+                RefusalReason::TargetDown
+            });
+        };
+        if target.service != request.service {
+            return refuse(RefusalReason::UnknownService);
+        }
+        Ok(())
+    }
+
+    /// Adjusts the queue to the target in use.
+    fn follow_target(&mut self, now: TickTime) {
+        let ready = self.target.current();
+        let ready = ready.filter(|target| target.state == TargetState::Ready && !self.is_stopping);
+        let actions = match ready.map(|target| target.slots) {
+            Some(slots) => {
+                self.queue.set_slots(slots);
+                self.queue.start_waiting(now)
+            }
+            None => self.queue.refuse_all(),
+        };
+        self.perform(now, actions);
+    }
+
+    fn perform(&mut self, now: TickTime, actions: Vec<SlotAction>) {
+        for action in actions {
+            let (key, verdict) = match action {
+                SlotAction::Start(key) => (key, Ok(())),
+                SlotAction::Refuse(key, wait) => (key, Err(wait)),
+            };
+            let is_start = verdict.is_ok();
+            let waiter = self.waiting.remove(&key);
+            let is_heard = waiter.is_some_and(|waiter| waiter.send(verdict).is_ok());
+            if is_start && !is_heard {
+                // The request was given up meanwhile; its slot goes to the next one.
+                let actions = self.queue.finish(now, None);
+                self.perform(now, actions);
+            }
+        }
+    }
+}
+
+/// Holds a slot until it is dropped.
+#[derive(Debug)]
+struct SlotGuard {
+    shared: Arc<GateShared>,
+    service_time: Option<Duration>,
+}
+
+impl SlotGuard {
+    fn new(shared: Arc<GateShared>) -> Self {
+        Self {
+            shared,
+            service_time: None,
+        }
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        let mut state = lock(&self.shared.state);
+        let actions = state.queue.finish(now, self.service_time);
+        state.perform(now, actions);
+    }
+}
+
+/// Gives a place in the queue up when its request is given up.
+#[derive(Debug)]
+struct WaitGuard {
+    shared: Arc<GateShared>,
+    key: Option<WaitKey>,
+    grant: oneshot::Receiver<Result<(), Duration>>,
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        let Some(key) = self.key else {
+            return;
+        };
+        let now = self.shared.now();
+        let mut state = lock(&self.shared.state);
+        if state.waiting.remove(&key).is_some() {
+            state.queue.cancel(key);
+        } else if let Ok(Ok(())) = self.grant.try_recv() {
+            let actions = state.queue.finish(now, None);
+            state.perform(now, actions);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/hop.rs
@@ -0,0 +1,241 @@
+//! Request on its way from the entry to the node beside a target, and its form between nodes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::{Method, Request, Uri};
+use http_body_util::Full;
+use uuid::Uuid;
+
+use crate::error::{MeshError, Result};
+use crate::types::{AttemptId, RefusalReason, ServiceName};
+
+use super::answer::{Answer, HopResult};
+
+const SERVICE: HeaderName = HeaderName::from_static("ebj-service");
+const CALLER: HeaderName = HeaderName::from_static("ebj-caller");
+const ATTEMPT: HeaderName = HeaderName::from_static("ebj-attempt-id");
+const URGENCY: HeaderName = HeaderName::from_static("ebj-urgency");
+const FLAGS: HeaderName = HeaderName::from_static("ebj-flags");
+const OBJECTIVE_MS: HeaderName = HeaderName::from_static("ebj-objective-ms");
+const TIMEOUT_MS: HeaderName = HeaderName::from_static("ebj-timeout-ms");
+const ORIGINAL_HOST: HeaderName = HeaderName::from_static("ebj-host");
+const OUTCOME: HeaderName = HeaderName::from_static("ebj-outcome");
+const REASON: HeaderName = HeaderName::from_static("ebj-reason");
+const WAIT_MS: HeaderName = HeaderName::from_static("ebj-wait-ms");
+const OWN_PREFIX: &str = "ebj-";
+const FLAG_NESTED: u8 = 1;
+const FLAG_AT_MOST_ONCE: u8 = 2;
+
+const HOP_BY_HOP: [HeaderName; 8] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    EXPECT,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// One attempt at one service.
+#[derive(Debug, Clone)]
+pub(super) struct HopRequest {
+    pub(super) method: Method,
+    /// Path and query as the client sent them.
+    pub(super) target: String,
+    pub(super) host: String,
+    /// End-to-end headers of the client.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) service: ServiceName,
+    /// Service on whose VM the request began.
+    pub(super) caller: ServiceName,
+    pub(super) request_id: HeaderValue,
+    pub(super) attempt_id: AttemptId,
+    pub(super) is_nested: bool,
+    pub(super) is_at_most_once: bool,
+    pub(super) urgency: u32,
+    /// Time left until an answer is late.
+    pub(super) objective: Duration,
+    /// Time left until an answer is of no use.
+    pub(super) timeout: Duration,
+}
+
+/// Removes headers that concern one connection only, and those of the mesh itself.
+pub(super) fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|words| words.split(','))
+        .filter_map(|word| word.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+impl HopRequest {
+    /// Returns the message for another node.
+    pub(super) fn encode(&self, authority: &str) -> Result<Request<Full<Bytes>>> {
+        let uri = format!("http://{authority}{}", self.target);
+        let uri = Uri::try_from(uri).map_err(|error| invalid("path", error.to_string()))?;
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = uri;
+        let headers = request.headers_mut();
+        headers.clone_from(&self.headers);
+        headers.remove(HOST);
+        let mut flags = 0;
+        if self.is_nested {
+            flags |= FLAG_NESTED;
+        }
+        if self.is_at_most_once {
+            flags |= FLAG_AT_MOST_ONCE;
+        }
+        let attempt = Uuid::from_bytes(*self.attempt_id.as_bytes());
+        let fields = [
+            (SERVICE, self.service.to_string()),
+            (CALLER, self.caller.to_string()),
+            (ATTEMPT, attempt.simple().to_string()),
+            (URGENCY, self.urgency.to_string()),
+            (FLAGS, flags.to_string()),
+            (OBJECTIVE_MS, self.objective.as_millis().to_string()),
+            (TIMEOUT_MS, self.timeout.as_millis().to_string()),
+            (ORIGINAL_HOST, self.host.clone()),
+        ];
+        for (name, value) in fields {
+            let value = HeaderValue::from_str(&value)
+                .map_err(|error| invalid("hop header", error.to_string()))?;
+            headers.insert(name, value);
+        }
+        Ok(request)
+    }
+
+    /// Reads a message of another node.
+    pub(super) fn decode(
+        head: http::request::Parts,
+        body: Bytes,
+        request_id: &HeaderName,
+    ) -> Result<Self> {
+        let mut headers = head.headers;
+        let flags: u8 = number(&headers, &FLAGS)?;
+        let request = Self {
+            method: head.method,
+            target: head
+                .uri
+                .path_and_query()
+                .map_or("/", |target| target.as_str())
+                .to_owned(),
+            host: text(&headers, &ORIGINAL_HOST)?.to_owned(),
+            body,
+            service: text(&headers, &SERVICE)?.try_into()?,
+            caller: text(&headers, &CALLER)?.try_into()?,
+            request_id: headers
+                .get(request_id)
+                .cloned()
+                .ok_or_else(|| invalid("hop header", "the request id is missing"))?,
+            attempt_id: text(&headers, &ATTEMPT)?.try_into()?,
+            is_nested: flags & FLAG_NESTED != 0,
+            is_at_most_once: flags & FLAG_AT_MOST_ONCE != 0,
+            urgency: number(&headers, &URGENCY)?,
+            objective: Duration::from_millis(number(&headers, &OBJECTIVE_MS)?),
+            timeout: Duration::from_millis(number(&headers, &TIMEOUT_MS)?),
+            headers: HeaderMap::new(),
+        };
+        strip_connection_headers(&mut headers);
+        Ok(Self { headers, ..request })
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str> {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.ok_or_else(|| invalid("hop header", format!("{name} is missing or malformed")))
+}
+
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &HeaderName) -> Result<T> {
+    let parsed = text(headers, name)?.parse();
+    parsed.map_err(|_| invalid("hop header", format!("{name} must be a number")))
+}
+
+fn invalid(field: &'static str, detail: impl Into<String>) -> MeshError {
+    MeshError::invalid(field, detail)
+}
+
+/// Writes what is known about an attempt into the answer to another node.
+pub(super) fn encode_result(result: HopResult) -> http::Response<Full<Bytes>> {
+    let mut response = http::Response::new(Full::default());
+    match result {
+        HopResult::Ran { answer, wait } => {
+            *response.status_mut() = answer.status;
+            *response.headers_mut() = answer.headers;
+            strip_connection_headers(response.headers_mut());
+            *response.body_mut() = Full::new(answer.body);
+            let headers = response.headers_mut();
+            headers.insert(OUTCOME, HeaderValue::from_static("ran"));
+            headers.insert(WAIT_MS, HeaderValue::from(wait.as_millis() as u64));
+        }
+        HopResult::NotRun { reason, wait } => {
+            let headers = response.headers_mut();
+            headers.insert(OUTCOME, HeaderValue::from_static("not-run"));
+            headers.insert(REASON, HeaderValue::from_static(reason.as_str()));
+            headers.insert(WAIT_MS, HeaderValue::from(wait.as_millis() as u64));
+        }
+        HopResult::Unknown { detail } => {
+            let headers = response.headers_mut();
+            headers.insert(OUTCOME, HeaderValue::from_static("unknown"));
+            if let Ok(value) = HeaderValue::from_str(&detail) {
+                headers.insert(REASON, value);
+            }
+        }
+    }
+    response
+}
+
+/// Reads what another node knows about an attempt; anything unexpected leaves the outcome open.
+pub(super) fn decode_result(head: http::response::Parts, body: Bytes) -> HopResult {
+    let outcome = head.headers.get(OUTCOME).map(HeaderValue::as_bytes);
+    match outcome {
+        Some(b"ran") => {
+            let mut headers = head.headers;
+            let wait_ms = number(&headers, &WAIT_MS).unwrap_or_default();
+            strip_connection_headers(&mut headers);
+            HopResult::Ran {
+                answer: Answer {
+                    status: head.status,
+                    headers,
+                    body,
+                },
+                wait: Duration::from_millis(wait_ms),
+            }
+        }
+        Some(b"not-run") => {
+            let reason = head.headers.get(REASON).map(HeaderValue::as_bytes);
+            let reason = reason.and_then(RefusalReason::from_header);
+            let wait_ms = number(&head.headers, &WAIT_MS).unwrap_or_default();
+            HopResult::NotRun {
+                reason: reason.unwrap_or(RefusalReason::NoTarget),
+                wait: Duration::from_millis(wait_ms),
+            }
+        }
+        _ => {
+            let reason = text(&head.headers, &REASON).unwrap_or("no outcome");
+            HopResult::Unknown {
+                detail: reason.to_owned(),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/peer_client.rs
@@ -0,0 +1,172 @@
+//! Connections to other nodes: one HTTP/2 connection for each, shared by all requests.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HeaderValue;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http2::{Builder, SendRequest};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
+use uuid::Uuid;
+
+use crate::config::MeshToken;
+use crate::control_client::MESH_TOKEN_KEY;
+use crate::types::{AttemptId, RefusalReason};
+
+use super::answer::HopResult;
+use super::hop::{HopRequest, decode_result};
+use super::state::lock;
+
+/// A round trip between regions takes 24 ms; a lost first packet costs a second, so another target is tried instead.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pings show a connection that has gone silent. They are sent only while requests wait on it.
+const PING_INTERVAL: Duration = Duration::from_millis(700);
+const PING_TIMEOUT: Duration = Duration::from_millis(700);
+const WINDOW_BYTES: u32 = 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Path under which a node is asked to forbid an attempt.
+pub(super) const CANCEL_PATH: &str = "/ebonyjunction/v1/attempts/";
+
+#[derive(Debug, Clone)]
+struct PeerLink {
+    sender: SendRequest<Full<Bytes>>,
+    _task: Arc<AbortOnDropHandle<()>>,
+}
+
+/// Connections by address.
+#[derive(Debug)]
+pub(super) struct PeerClient {
+    token: Option<HeaderValue>,
+    links: Mutex<BTreeMap<SocketAddr, Arc<tokio::sync::Mutex<Option<PeerLink>>>>>,
+}
+
+impl PeerClient {
+    pub(super) fn new(token: &MeshToken) -> Self {
+        Self {
+            token: HeaderValue::from_str(token.as_str()).ok(),
+            links: Mutex::default(),
+        }
+    }
+
+    /// Forgets connections to nodes that the directory no longer lists.
+    pub(super) fn retain(&self, is_listed: impl Fn(SocketAddr) -> bool) {
+        lock(&self.links).retain(|address, _| is_listed(*address));
+    }
+
+    /// Sends an attempt and reads the result. Dropping the future cancels it at the other node.
+    pub(super) async fn send(&self, address: SocketAddr, hop: &HopRequest) -> HopResult {
+        let message = match hop.encode(&address.to_string()) {
+            Ok(message) => message,
+            Err(error) => {
+                log::warn!("event=hop_not_encoded error={:?}", error.to_string());
+                return not_run(RefusalReason::BadRequest);
+            }
+        };
+        let link = match self.link(address).await {
+            Ok(link) => link,
+            Err(detail) => {
+                log::info!("event=peer_unreachable peer={address} error={detail:?}");
+                return not_run(RefusalReason::TargetDown);
+            }
+        };
+        self.exchange(link, message).await
+    }
+
+    /// Asks a node to forbid an attempt whose outcome is open; returns whether it is proven that it has not run.
+    pub(super) async fn cancel(&self, address: SocketAddr, attempt_id: AttemptId) -> bool {
+        let attempt = Uuid::from_bytes(*attempt_id.as_bytes());
+        let uri = format!("http://{address}{CANCEL_PATH}{}", attempt.simple());
+        let mut message = Request::new(Full::default());
+        *message.method_mut() = Method::DELETE;
+        let Ok(uri) = uri.parse() else {
+            return false;
+        };
+        *message.uri_mut() = uri;
+        let asked = async {
+            let link = self.link(address).await.ok()?;
+            Some(self.exchange(link, message).await)
+        };
+        let result = timeout(CANCEL_TIMEOUT, asked).await;
+        matches!(result, Ok(Some(HopResult::NotRun { .. })))
+    }
+
+    async fn exchange(&self, mut link: PeerLink, mut message: Request<Full<Bytes>>) -> HopResult {
+        if let Some(token) = &self.token {
+            message.headers_mut().insert(MESH_TOKEN_KEY, token.clone());
+        }
+        let response = match link.sender.send_request(message).await {
+            Ok(response) => response,
+            Err(error) if error.is_canceled() => return not_run(RefusalReason::TargetDown),
+            Err(error) => return unknown(&error),
+        };
+        let (head, body) = response.into_parts();
+        match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+            Ok(body) => decode_result(head, body.to_bytes()),
+            Err(error) => unknown(&error),
+        }
+    }
+
+    async fn link(&self, address: SocketAddr) -> Result<PeerLink, String> {
+        let place = Arc::clone(lock(&self.links).entry(address).or_default());
+        let mut held = place.lock().await;
+        if let Some(link) = held.as_ref()
+            && !link.sender.is_closed()
+        {
+            return Ok(link.clone());
+        }
+        *held = None;
+        let link = timeout(CONNECT_TIMEOUT, open(address))
+            .await
+            .map_err(|_| "connecting timed out".to_owned())??;
+        *held = Some(link.clone());
+        Ok(link)
+    }
+}
+
+async fn open(address: SocketAddr) -> Result<PeerLink, String> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| error.to_string())?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| error.to_string())?;
+    let (sender, connection) = Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| error.to_string())?;
+    let task = tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::info!("event=peer_lost peer={address} error={error:?}");
+        }
+    });
+    Ok(PeerLink {
+        sender,
+        _task: Arc::new(AbortOnDropHandle::new(task)),
+    })
+}
+
+fn not_run(reason: RefusalReason) -> HopResult {
+    HopResult::NotRun {
+        reason,
+        wait: Duration::ZERO,
+    }
+}
+
+fn unknown(error: &dyn std::fmt::Display) -> HopResult {
+    HopResult::Unknown {
+        detail: format!("connection to the node failed: {error}"),
+    }
+}
--- /dev/null
+++ b/src/gateway/peer_server.rs
@@ -0,0 +1,134 @@
+//! Listener for other nodes.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http2::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use crate::control_client::MESH_TOKEN_KEY;
+use crate::types::{AttemptId, RefusalReason};
+
+use super::answer::HopResult;
+use super::gate::CancelVerdict;
+use super::hop::{HopRequest, encode_result};
+use super::peer_client::CANCEL_PATH;
+use super::state::GatewayState;
+
+const WINDOW_BYTES: u32 = 1024 * 1024;
+const MAX_STREAMS: u32 = 1_024;
+const PING_INTERVAL: Duration = Duration::from_secs(5);
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections of other nodes until the process stops.
+pub(super) async fn serve_peers(state: Arc<GatewayState>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.closing.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                state.tasks.spawn(serve_peer(Arc::clone(&state), stream));
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed listener=peer error={error:?}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_peer(state: Arc<GatewayState>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("event=nodelay_failed listener=peer error={error:?}");
+    }
+    let closing = state.closing.clone();
+    let service = service_fn(move |request| answer(Arc::clone(&state), request));
+    let connection = Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .max_concurrent_streams(MAX_STREAMS)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("event=connection_failed listener=peer error={error:?}");
+    }
+}
+
+async fn answer(
+    state: Arc<GatewayState>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let token = request.headers().get(MESH_TOKEN_KEY);
+    let expected = state.config.mesh_token.as_str().as_bytes();
+    if token.is_none_or(|token| token.as_bytes() != expected) {
+        log::warn!("event=peer_refused reason=bad-mesh-token");
+        return Ok(status(StatusCode::UNAUTHORIZED));
+    }
+    if request.method() == Method::DELETE
+        && let Some(attempt) = request.uri().path().strip_prefix(CANCEL_PATH)
+    {
+        let Ok(attempt_id) = AttemptId::try_from(attempt) else {
+            return Ok(status(StatusCode::BAD_REQUEST));
+        };
+        return Ok(encode_result(cancel(&state, attempt_id)));
+    }
+    Ok(run(&state, request).await)
+}
+
+fn cancel(state: &GatewayState, attempt_id: AttemptId) -> HopResult {
+    match state.gate.cancel(attempt_id) {
+        CancelVerdict::NotRun => HopResult::NotRun {
+            reason: RefusalReason::Cancelled,
+            wait: Duration::ZERO,
+        },
+        CancelVerdict::Unknown => HopResult::Unknown {
+            detail: "handed over".to_owned(),
+        },
+    }
+}
+
+async fn run(state: &GatewayState, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (head, body) = request.into_parts();
+    let max_bytes = state.book().limits().body_bytes as usize;
+    let body = match Limited::new(body, max_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::info!("event=hop_body_failed error={:?}", error.to_string());
+            return status(StatusCode::BAD_REQUEST);
+        }
+    };
+    match HopRequest::decode(head, body, &state.config.names.request_id) {
+        Ok(hop) => encode_result(state.gate.handle(hop).await),
+        Err(error) => {
+            log::warn!("event=hop_malformed error={:?}", error.to_string());
+            status(StatusCode::BAD_REQUEST)
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/gateway/run.rs
@@ -0,0 +1,119 @@
+//! Start and graceful stop of a gateway.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::time::{Instant, interval, sleep, timeout, timeout_at};
+
+use crate::error::{MeshError, Result};
+
+use super::config::GatewayConfig;
+use super::connection::serve_clients;
+use super::metrics::serve_metrics;
+use super::peer_server::serve_peers;
+use super::state::GatewayState;
+use super::sync::{announce_once, run_sync};
+
+/// Clients are sent to a stopping node until they have asked twice whether it is ready, once a second each.
+const LINGER: Duration = Duration::from_millis(3_200);
+/// Kept free at the end of a stop for closing connections.
+const STOP_RESERVE: Duration = Duration::from_millis(500);
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Resolution of the time at which waiting requests are refused.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A gateway that serves its listeners.
+#[derive(Debug)]
+pub struct RunningGateway {
+    state: Arc<GatewayState>,
+}
+
+/// Binds the listeners and starts a gateway.
+pub async fn start_gateway(config: GatewayConfig) -> Result<RunningGateway> {
+    let mut listeners = Vec::new();
+    for address in &config.client_addresses {
+        listeners.push(bind(*address, "client").await?);
+    }
+    let peers = bind(config.peer_address, "peer").await?;
+    let metrics_address = config.metrics_address;
+    let state = Arc::new(GatewayState::new(config));
+    if let Some(address) = metrics_address {
+        serve_metrics(address, state.metrics.page.clone()).await?;
+    }
+    log::info!(
+        "event=started node={} service={} zone={}",
+        state.node_id,
+        state.config.service,
+        state.config.zone
+    );
+    for listener in listeners {
+        tokio::spawn(serve_clients(Arc::clone(&state), listener));
+    }
+    tokio::spawn(serve_peers(Arc::clone(&state), peers));
+    tokio::spawn(run_sync(Arc::clone(&state)));
+    tokio::spawn(run_ticks(Arc::clone(&state)));
+    Ok(RunningGateway { state })
+}
+
+impl RunningGateway {
+    /// Returns the state that interfaces beside the request path work on.
+    pub fn state(&self) -> &Arc<GatewayState> {
+        &self.state
+    }
+
+    /// Serves until `stop` completes, then finishes what was begun.
+    pub async fn run_until(self, stop: impl Future<Output = ()>) {
+        stop.await;
+        let state = &self.state;
+        let started = Instant::now();
+        let bound = state.config.stop_timeout;
+        let deadline = started + bound.saturating_sub(STOP_RESERVE);
+        log::info!("event=stopping bound_ms={}", bound.as_millis());
+        state.is_stopping.store(true, Ordering::Relaxed);
+        state.gate.stop();
+        state.announce_soon();
+        if let Ok(Err(error)) = timeout(ANNOUNCE_TIMEOUT, announce_once(state)).await {
+            log::warn!("event=withdraw_failed error={:?}", error.to_string());
+        }
+        let linger_until = (started + LINGER).min(deadline);
+        sleep(linger_until.saturating_duration_since(Instant::now())).await;
+        let drained = timeout_at(deadline, wait_for_work(state)).await.is_ok();
+        state.closing.cancel();
+        state.tasks.close();
+        let closed = timeout_at(started + bound, state.tasks.wait())
+            .await
+            .is_ok();
+        log::info!("event=stopped drained={drained} closed={closed}");
+    }
+}
+
+async fn bind(address: SocketAddr, name: &'static str) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|source| MeshError::io(format!("cannot listen on {address} ({name})"), source))?;
+    log::info!("event=listening listener={name} address={address}");
+    Ok(listener)
+}
+
+async fn wait_for_work(state: &GatewayState) {
+    loop {
+        let (running, waiting) = state.gate.load();
+        let active = state.active.load(Ordering::Relaxed);
+        if running == 0 && waiting == 0 && active == 0 {
+            return;
+        }
+        sleep(DRAIN_POLL).await;
+    }
+}
+
+async fn run_ticks(state: Arc<GatewayState>) {
+    let mut ticks = interval(TICK_INTERVAL);
+    loop {
+        ticks.tick().await;
+        state.gate.tick();
+    }
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,193 @@
+//! State of a gateway, shared by its tasks. Locks are held for short sections and never across an await.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use uuid::Uuid;
+
+use crate::control_client::ControlClient;
+use crate::directory::HeldDirectory;
+use crate::generated::RouteSet;
+use crate::retry::{RetryBudget, RetrySettings};
+use crate::routes::RouteBook;
+use crate::routing::{RoutingSettings, TargetTable};
+use crate::types::{NodeId, ServiceName, TickTime};
+
+use super::config::GatewayConfig;
+use super::entry::PartCounters;
+use super::gate::TargetGate;
+use super::metrics::GatewayMetrics;
+use super::peer_client::PeerClient;
+use super::sync::DirectoryPosition;
+
+/// Extra latency that a target in another zone must make up for; bytes between zones are billed.
+const ZONE_COST: Duration = Duration::from_millis(60);
+/// The same for another region, with its round trip.
+const REGION_COST: Duration = Duration::from_millis(90);
+/// Share of the permitted retries that nodes spend: retries below the services that are called count there as well.
+const BUDGET_PART: f64 = 0.5;
+
+/// State of a running gateway.
+#[derive(Debug)]
+pub struct GatewayState {
+    pub(super) config: GatewayConfig,
+    pub(super) node_id: NodeId,
+    started: Instant,
+    pub(super) control: ControlClient,
+    pub(super) peers: PeerClient,
+    pub(super) gate: TargetGate,
+    pub(super) metrics: GatewayMetrics,
+    book: Mutex<Arc<RouteBook>>,
+    pub(super) held_routes: Mutex<RouteSet>,
+    pub(super) held_directory: Mutex<HeldDirectory>,
+    pub(super) table: Mutex<TargetTable>,
+    pub(super) position: Mutex<DirectoryPosition>,
+    pub(super) budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
+    pub(super) counters: Mutex<PartCounters>,
+    pub(super) rng: Mutex<SmallRng>,
+    pub(super) announced: Notify,
+    pub(super) is_stopping: AtomicBool,
+    pub(super) active: AtomicUsize,
+    pub(super) closing: CancellationToken,
+    pub(super) tasks: TaskTracker,
+}
+
+/// Locks a part of the state; a panic of another task does not make its data unusable.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl GatewayState {
+    pub(super) fn new(config: GatewayConfig) -> Self {
+        let settings = RoutingSettings {
+            zone_cost: ZONE_COST,
+            region_cost: REGION_COST,
+            ..RoutingSettings::default()
+        };
+        let table = TargetTable::new(settings, config.zone.clone(), config.region.clone());
+        Self {
+            node_id: NodeId::from_uuid(Uuid::new_v4()),
+            started: Instant::now(),
+            control: ControlClient::new(config.control.clone(), config.mesh_token.clone()),
+            peers: PeerClient::new(&config.mesh_token),
+            gate: TargetGate::new(&config),
+            metrics: GatewayMetrics::new(),
+            book: Mutex::default(),
+            held_routes: Mutex::default(),
+            held_directory: Mutex::default(),
+            table: Mutex::new(table),
+            position: Mutex::default(),
+            budgets: Mutex::default(),
+            counters: Mutex::default(),
+            rng: Mutex::new(SmallRng::from_rng(&mut rand::rng())),
+            announced: Notify::new(),
+            is_stopping: AtomicBool::new(false),
+            active: AtomicUsize::new(0),
+            closing: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            config,
+        }
+    }
+
+    pub(super) fn now(&self) -> TickTime {
+        TickTime::from_start(self.started.elapsed())
+    }
+
+    /// Returns the routes in force at this node.
+    pub fn book(&self) -> Arc<RouteBook> {
+        Arc::clone(&lock(&self.book))
+    }
+
+    pub(super) fn adopt_book(&self, book: RouteBook) {
+        *lock(&self.book) = Arc::new(book);
+    }
+
+    /// Returns whether clients may be sent to this node: it holds routes and a directory, and is not stopping.
+    pub fn is_ready(&self) -> bool {
+        let holds_views = self.book().version() > 0 && lock(&self.position).is_known();
+        holds_views && !self.is_stopping()
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Returns the gate before the own target.
+    pub fn gate(&self) -> &TargetGate {
+        &self.gate
+    }
+
+    /// Tells the control replicas soon about a change of the own target.
+    pub fn announce_soon(&self) {
+        self.announced.notify_one();
+    }
+
+    /// Replaces the control replicas of the settings.
+    pub fn configure_control(&self, addresses: Vec<std::net::SocketAddr>) {
+        self.control.configure(addresses);
+    }
+
+    /// Counts a request for a service.
+    pub(super) fn record_first(&self, service: &ServiceName) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.record_first(now));
+    }
+
+    /// Counts a retry if the share of this node in the budget of all nodes allows it.
+    pub(super) fn try_retry(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.try_retry(now))
+    }
+
+    fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let settings = self.retry_settings();
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(settings));
+        budget.configure(settings);
+        act(budget)
+    }
+
+    /// Returns this node's part of the budget. Parts below the ratio add up to a total below it; the slack is divided
+    /// by the number of nodes.
+    fn retry_settings(&self) -> RetrySettings {
+        let nodes = lock(&self.table).len().max(1) as f64;
+        let window_s = self.config.retry_window.as_secs_f64().max(1.0);
+        let slack = f64::from(self.config.retry_slack) * BUDGET_PART / nodes;
+        RetrySettings {
+            retry_ratio: self.config.retry_ratio * BUDGET_PART,
+            min_retries_per_s: slack / window_s,
+            window: self.config.retry_window,
+            ..RetrySettings::default()
+        }
+    }
+
+    pub(super) fn jitter(&self, mean: Duration) -> Duration {
+        mean.mul_f64(lock(&self.rng).random_range(0.75..1.25))
+    }
+}
+
+/// Counts a request that is being answered, so that a stop can wait for it.
+#[derive(Debug)]
+pub(super) struct ActiveGuard<'a>(&'a AtomicUsize);
+
+impl<'a> ActiveGuard<'a> {
+    pub(super) fn new(active: &'a AtomicUsize) -> Self {
+        active.fetch_add(1, Ordering::Relaxed);
+        Self(active)
+    }
+}
+
+impl Drop for ActiveGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/gateway/sync.rs
@@ -0,0 +1,188 @@
+//! Exchange with the control replicas: the own target is announced, routes and directory come back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::error::{MeshError, Result};
+use crate::generated::{
+    DirectoryDelta, HeartbeatReply, HeartbeatRequest, NodeInfo, RouteDelta, TargetInfo,
+};
+use crate::routes::{RouteBook, apply_delta};
+use crate::routing::{DirectoryUpdate, TargetState};
+
+use super::state::{GatewayState, lock};
+
+/// Time for which the leader may hold an answer back; below the bounds of relays and below the lease of targets.
+const WAIT: Duration = Duration::from_millis(600);
+/// A node without routes or directory answers no request, so it asks again soon.
+const START_WAIT: Duration = Duration::from_millis(100);
+/// Bounds the load while answers come at once.
+const MIN_PAUSE: Duration = Duration::from_millis(30);
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Position in the directory up to which the node holds it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct DirectoryPosition {
+    term: u64,
+    revision: u64,
+}
+
+impl DirectoryPosition {
+    pub(super) fn is_known(self) -> bool {
+        self.term > 0
+    }
+}
+
+/// Keeps the views of the node fresh until the process ends.
+pub(super) async fn run_sync(state: Arc<GatewayState>) {
+    let mut is_connected = false;
+    loop {
+        // A change of the own target is sent at once, beside the heartbeat that waits.
+        let beat = tokio::select! {
+            beat = exchange(&state) => beat,
+            () = state.announced.notified() => continue,
+        };
+        match beat {
+            Ok(()) => {
+                if !is_connected {
+                    is_connected = true;
+                    log::info!("event=control_regained");
+                }
+                sleep(MIN_PAUSE).await;
+            }
+            Err(error) => {
+                if is_connected {
+                    is_connected = false;
+                    log::warn!("event=control_lost error={:?}", error.to_string());
+                }
+                sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Announces the state of the own target once without waiting for news.
+pub(super) async fn announce_once(state: &GatewayState) -> Result<()> {
+    let request = HeartbeatRequest {
+        wait_ms: 0,
+        ..build_request(state)
+    };
+    let reply = state.control.heartbeat(request).await?;
+    apply_reply(state, reply)
+}
+
+async fn exchange(state: &GatewayState) -> Result<()> {
+    let request = build_request(state);
+    let reply = state.control.heartbeat(request).await?;
+    apply_reply(state, reply)
+}
+
+fn build_request(state: &GatewayState) -> HeartbeatRequest {
+    let position = *lock(&state.position);
+    let holds_views = state.book().version() > 0 && position.is_known();
+    let wait = if holds_views { WAIT } else { START_WAIT };
+    HeartbeatRequest {
+        node: Some(node_info(state)),
+        plan_version: 0,
+        directory_term: position.term,
+        directory_revision: position.revision,
+        demands: Vec::new(),
+        relayed: false,
+        all_services: true,
+        services: Vec::new(),
+        directory_digest: lock(&state.held_directory).digest(),
+        route_version: lock(&state.held_routes).version,
+        wait_ms: wait.as_millis() as u32,
+    }
+}
+
+fn node_info(state: &GatewayState) -> NodeInfo {
+    let target = state.gate.announcement().map(|(report, announced)| {
+        let announced = match announced {
+            TargetState::Ready if state.is_stopping() => TargetState::Leaving,
+            other => other,
+        };
+        TargetInfo {
+            service: report.service.to_string(),
+            slots: report.slots.max(1),
+            connections: 0,
+            state: crate::generated::TargetState::from(announced).into(),
+        }
+    });
+    NodeInfo {
+        node_id: state.node_id.as_bytes().to_vec().into(),
+        zone: state.config.zone.to_string(),
+        region: state.config.region.to_string(),
+        mesh_address: state.config.peer_address.to_string(),
+        target,
+    }
+}
+
+fn apply_reply(state: &GatewayState, reply: HeartbeatReply) -> Result<()> {
+    state.control.adopt_replicas(&reply.replicas);
+    if let Some(delta) = &reply.routes {
+        apply_routes(state, delta)?;
+    }
+    if let Some(delta) = reply.directory {
+        apply_directory(state, &delta)?;
+    }
+    Ok(())
+}
+
+fn apply_routes(state: &GatewayState, delta: &RouteDelta) -> Result<()> {
+    let mut held = lock(&state.held_routes);
+    // An answer that was overtaken must not bring an older version back.
+    if delta.version <= held.version {
+        return Ok(());
+    }
+    let Some(set) = apply_delta(&held, delta) else {
+        log::warn!(
+            "event=routes_refused held={} base={}",
+            held.version,
+            delta.base_version
+        );
+        return Ok(());
+    };
+    let book = RouteBook::try_from(&set)?;
+    log::info!(
+        "event=routes_adopted version={} base={} routes={}",
+        set.version,
+        held.version,
+        book.len()
+    );
+    *held = set;
+    state.adopt_book(book);
+    Ok(())
+}
+
+fn apply_directory(state: &GatewayState, delta: &DirectoryDelta) -> Result<()> {
+    let changed = delta.changed.len() + delta.removed.len();
+    let mut position = lock(&state.position);
+    let is_older = delta.term < position.term
+        || (delta.term == position.term && delta.revision < position.revision);
+    if is_older {
+        return Ok(());
+    }
+    if delta.full || changed > 0 {
+        log::info!(
+            "event=directory term={} revision={} full={} changed={changed}",
+            delta.term,
+            delta.revision,
+            delta.full
+        );
+    }
+    let update = DirectoryUpdate::try_from(delta.clone())
+        .map_err(|error| MeshError::invalid("directory", error.to_string()))?;
+    lock(&state.held_directory).apply(delta);
+    let mut table = lock(&state.table);
+    table.apply_update(state.now(), update);
+    state.peers.retain(|address| table.is_listed(address));
+    drop(table);
+    *position = DirectoryPosition {
+        term: delta.term,
+        revision: delta.revision,
+    };
+    Ok(())
+}
--- /dev/null
+++ b/src/gateway/target_client.rs
@@ -0,0 +1,245 @@
+//! Connections to the own target: one request at a time on each, reused while nothing unexpected was seen.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::types::RefusalReason;
+
+use super::answer::{Answer, HopResult};
+use super::config::HeaderNames;
+use super::hop::strip_connection_headers;
+use super::state::lock;
+
+/// The target is on the same VM; a new connection takes about a millisecond.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Targets close idle connections after some seconds, at times without notice.
+const MAX_IDLE: Duration = Duration::from_secs(4);
+/// A request that may not be repeated is lost if its connection turns out to be closed, so it takes one that was in use
+/// very recently.
+const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_secs(1);
+/// Time kept between the announced end of an idle connection and its last use.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const MAX_POOLED: usize = 256;
+
+#[derive(Debug)]
+struct TargetConnection {
+    sender: SendRequest<Full<Bytes>>,
+    // Dropping it closes the connection, which cancels the request at the target.
+    _task: AbortOnDropHandle<()>,
+    idle_since: Instant,
+    max_idle: Duration,
+}
+
+/// Pool of connections to one target.
+#[derive(Debug)]
+pub(super) struct TargetClient {
+    address: SocketAddr,
+    names: HeaderNames,
+    idle: Mutex<Vec<TargetConnection>>,
+}
+
+/// Failure of an exchange.
+#[derive(Debug)]
+pub(super) enum ExchangeFailure {
+    /// No connection could be opened; nothing was sent.
+    Connect(String),
+    /// The connection broke before any byte of the answer; the request may have run.
+    Broken(String),
+}
+
+impl TargetClient {
+    pub(super) fn new(address: SocketAddr, names: HeaderNames) -> Self {
+        Self {
+            address,
+            names,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Closes all idle connections, because the target behind the address has changed.
+    pub(super) fn clear(&self) {
+        lock(&self.idle).clear();
+    }
+
+    /// Sends a request and reads the whole answer. Dropping the future closes the connection.
+    pub(super) async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        request_id: &HeaderValue,
+        is_at_most_once: bool,
+    ) -> Result<HopResult, ExchangeFailure> {
+        let mut connection = self.connect(is_at_most_once).await?;
+        let broken = |error: hyper::Error| {
+            if error.is_canceled() {
+                ExchangeFailure::Connect(error.to_string())
+            } else {
+                ExchangeFailure::Broken(describe(&error))
+            }
+        };
+        let response = connection
+            .sender
+            .send_request(request)
+            .await
+            .map_err(broken)?;
+        let (head, body) = response.into_parts();
+        let body = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => return Err(ExchangeFailure::Broken(format!("answer: {error}"))),
+        };
+        let keeps_alive = Self::keep_alive(&head.headers);
+        let result = self.judge(head.status, head.headers, body, request_id);
+        let is_clean = !matches!(result, HopResult::Unknown { .. });
+        if let (true, Some(max_idle)) = (is_clean, keeps_alive) {
+            connection.max_idle = max_idle;
+            self.put_back(connection);
+        }
+        Ok(result)
+    }
+
+    async fn connect(&self, is_at_most_once: bool) -> Result<TargetConnection, ExchangeFailure> {
+        if let Some(connection) = self.take_idle(is_at_most_once).await {
+            return Ok(connection);
+        }
+        let failed = |error: &dyn std::fmt::Display| ExchangeFailure::Connect(error.to_string());
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
+            .await
+            .map_err(|_| failed(&"connecting timed out"))?
+            .map_err(|error| failed(&error))?;
+        stream.set_nodelay(true).map_err(|error| failed(&error))?;
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| failed(&error))?;
+        let task = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("event=target_connection_failed error={error:?}");
+            }
+        });
+        Ok(TargetConnection {
+            sender,
+            _task: AbortOnDropHandle::new(task),
+            idle_since: Instant::now(),
+            max_idle: MAX_IDLE,
+        })
+    }
+
+    async fn take_idle(&self, is_at_most_once: bool) -> Option<TargetConnection> {
+        if lock(&self.idle).is_empty() {
+            return None;
+        }
+        // Lets the connections' tasks see bytes that came unasked, which close their connection.
+        tokio::task::yield_now().await;
+        let mut idle = lock(&self.idle);
+        idle.retain(|connection| {
+            let is_fresh = connection.idle_since.elapsed() < connection.max_idle;
+            is_fresh && connection.sender.is_ready()
+        });
+        let bound = if is_at_most_once {
+            MAX_IDLE_AT_MOST_ONCE
+        } else {
+            MAX_IDLE
+        };
+        let position = idle
+            .iter()
+            .rposition(|connection| connection.idle_since.elapsed() < bound)?;
+        Some(idle.remove(position))
+    }
+
+    fn put_back(&self, mut connection: TargetConnection) {
+        connection.idle_since = Instant::now();
+        let mut idle = lock(&self.idle);
+        if idle.len() < MAX_POOLED {
+            idle.push(connection);
+        }
+    }
+
+    /// Returns how long the connection may be idle, or `None` if the target closes it.
+    fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+        let closes = headers.get_all(CONNECTION).iter().any(|value| {
+            value
+                .as_bytes()
+                .to_ascii_lowercase()
+                .windows(5)
+                .any(|word| word == b"close")
+        });
+        if closes {
+            return None;
+        }
+        let announced = headers.get(HeaderName::from_static("keep-alive"));
+        let announced = announced.and_then(|value| value.to_str().ok());
+        let seconds = announced.and_then(|text| {
+            let mut fields = text.split(',');
+            fields.find_map(|field| field.trim().strip_prefix("timeout=")?.parse().ok())
+        });
+        let Some(seconds) = seconds else {
+            return Some(MAX_IDLE);
+        };
+        let bound = Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN);
+        (!bound.is_zero()).then(|| bound.min(MAX_IDLE))
+    }
+
+    /// Decides what an answer proves.
+    fn judge(
+        &self,
+        status: StatusCode,
+        mut headers: HeaderMap,
+        body: Bytes,
+        request_id: &HeaderValue,
+    ) -> HopResult {
+        let unknown = |detail: &str| HopResult::Unknown {
+            detail: detail.to_owned(),
+        };
+        let not_run = |reason| HopResult::NotRun {
+            reason,
+            wait: Duration::ZERO,
+        };
+        let answered_id = headers.get(&self.names.request_id);
+        if answered_id.is_some_and(|id| id != request_id) {
+            return unknown("the answer belongs to another request");
+        }
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return not_run(RefusalReason::TargetReplaced);
+        }
+        if headers.contains_key(&self.names.not_run) {
+            return not_run(RefusalReason::TargetRefused);
+        }
+        if status.is_success() {
+            if answered_id.is_none() || !headers.contains_key(&self.names.seal) {
+                return unknown("the answer is not vouched for");
+            }
+            if headers.contains_key(CONTENT_ENCODING) {
+                return unknown("the answer is encoded");
+            }
+        }
+        strip_connection_headers(&mut headers);
+        HopResult::Ran {
+            answer: Answer {
+                status,
+                headers,
+                body,
+            },
+            wait: Duration::ZERO,
+        }
+    }
+}
+
+fn describe(error: &hyper::Error) -> String {
+    let mut detail = error.to_string();
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        detail = format!("{detail}: {cause}");
+        source = cause.source();
+    }
+    detail
+}
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -99,6 +99,8 @@
         directory_digest: lock(&state.held_directory).digest(),
         demands: demands.iter().map(RateDemand::from).collect(),
         relayed: false,
+        route_version: 0,
+        wait_ms: 0,
         // Outside callers may name any service at any node, and the first call must not wait for a heartbeat.
         all_services: true,
         services: Vec::new(),
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -7,9 +7,6 @@
 
 use super::settings::RetrySettings;
 
-/// First attempts and retries of this time are compared. A longer time would let a hop save up retries in quiet
-/// times and send them all when its targets become slow.
-const WINDOW: Duration = Duration::from_secs(2);
 /// Resolution of the window.
 const BUCKET: Duration = Duration::from_millis(200);
 
@@ -36,6 +33,11 @@
         }
     }
 
+    /// Changes the settings; what was counted is kept.
+    pub const fn configure(&mut self, settings: RetrySettings) {
+        self.settings = settings;
+    }
+
     /// Counts a first attempt.
     pub fn record_first(&mut self, now: TickTime) {
         let bucket = self.current_bucket(now);
@@ -55,7 +57,7 @@
             .iter()
             .map(|bucket| u64::from(bucket.retries))
             .sum();
-        let minimum = self.settings.min_retries_per_s * WINDOW.as_secs_f64();
+        let minimum = self.settings.min_retries_per_s * self.settings.window.as_secs_f64();
         let allowed = self.settings.retry_ratio * first as f64 + minimum;
         if (retries + 1) as f64 > allowed {
             return false;
@@ -67,7 +69,7 @@
 
     fn expire(&mut self, now: TickTime) {
         while let Some(oldest) = self.buckets.front()
-            && now - oldest.start >= WINDOW
+            && now - oldest.start >= self.settings.window
         {
             self.buckets.pop_front();
         }
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -135,6 +135,8 @@
         | RefusalReason::DeadlineInfeasible
         | RefusalReason::TargetLeaving
         | RefusalReason::TargetDown
+        | RefusalReason::TargetRefused
+        | RefusalReason::TargetReplaced
         | RefusalReason::ClaimUnavailable
         | RefusalReason::AnswerLost
         | RefusalReason::Stopping => true,
--- /dev/null
+++ b/src/routes.rs
@@ -0,0 +1,9 @@
+//! Routes by host and path prefix: the checked book of one version, and differences between versions.
+
+mod book;
+mod convert;
+mod difference;
+
+pub use book::{RepeatKind, RouteBook, RouteEntry, RouteKey, RouteLimits, RoutePart};
+pub use convert::document_digest;
+pub use difference::{apply_delta, route_delta};
--- /dev/null
+++ b/src/routes/book.rs
@@ -0,0 +1,158 @@
+//! Checked routes of one version.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::types::ServiceName;
+
+/// What may be done with a request whose first attempt may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepeatKind {
+    /// The request may run more than once.
+    Idempotent,
+    /// The request runs at most once.
+    AtMostOnce,
+}
+
+/// Index of a route in its book.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RouteKey(u32);
+
+/// One service of a route and its share of the requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RoutePart {
+    /// Service that the requests go to.
+    pub service: ServiceName,
+    /// Share relative to the other parts.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteEntry {
+    /// Name given by the operator.
+    pub name: String,
+    /// Host that the requests name.
+    pub host: String,
+    /// Beginning of the path.
+    pub prefix: String,
+    /// Whether requests may be repeated.
+    pub repeat_kind: RepeatKind,
+    /// Largest number of targets that one request may be sent to.
+    pub attempts: u32,
+    /// Longest time that a request is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer is of full use.
+    pub objective: Duration,
+    /// Rank among the routes; 0 is the most urgent.
+    pub urgency: u32,
+    /// Services of the route; at least one has a weight above 0.
+    pub parts: Vec<RoutePart>,
+}
+
+/// Bounds on what a client may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteLimits {
+    /// Largest head of a request in bytes.
+    pub header_bytes: usize,
+    /// Largest body of a request in bytes.
+    pub body_bytes: u64,
+    /// Longest time between the first byte of a head and its end.
+    pub header_timeout: Duration,
+    /// Longest time that a connection stays open without a request.
+    pub idle_timeout: Duration,
+}
+
+const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
+const DEFAULT_BODY_BYTES: u64 = 64 * 1024 * 1024;
+const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(3);
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+impl Default for RouteLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: DEFAULT_HEADER_BYTES,
+            body_bytes: DEFAULT_BODY_BYTES,
+            header_timeout: DEFAULT_HEADER_TIMEOUT,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+        }
+    }
+}
+
+/// All routes of one version.
+#[derive(Debug, Clone, Default)]
+pub struct RouteBook {
+    pub(super) version: u64,
+    pub(super) routes: Vec<RouteEntry>,
+    pub(super) connections: BTreeMap<ServiceName, u32>,
+    pub(super) limits: RouteLimits,
+    by_host: BTreeMap<String, Vec<RouteKey>>,
+}
+
+impl RouteBook {
+    pub(super) fn new(
+        version: u64,
+        routes: Vec<RouteEntry>,
+        connections: BTreeMap<ServiceName, u32>,
+        limits: RouteLimits,
+    ) -> Self {
+        let mut by_host: BTreeMap<String, Vec<RouteKey>> = BTreeMap::new();
+        for (index, route) in routes.iter().enumerate() {
+            let keys = by_host.entry(route.host.clone()).or_default();
+            keys.push(RouteKey(index as u32));
+        }
+        for keys in by_host.values_mut() {
+            let length = |key: &RouteKey| routes[key.0 as usize].prefix.len();
+            keys.sort_by_key(|key| std::cmp::Reverse(length(key)));
+        }
+        Self {
+            version,
+            routes,
+            connections,
+            limits,
+            by_host,
+        }
+    }
+
+    /// Returns the version; 0 before the first one.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the bounds on what a client may send.
+    pub fn limits(&self) -> &RouteLimits {
+        &self.limits
+    }
+
+    /// Returns the connections that each target of a service accepts, if the service is listed.
+    pub fn connections(&self, service: &ServiceName) -> Option<u32> {
+        self.connections.get(service).copied()
+    }
+
+    /// Returns a route of this book.
+    pub fn route(&self, key: RouteKey) -> &RouteEntry {
+        &self.routes[key.0 as usize]
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// Returns whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
+
+    /// Finds the route of a host with the longest prefix that begins the path. A port after the host is ignored.
+    pub fn find(&self, host: &str, path: &str) -> Option<RouteKey> {
+        let host = host.split_once(':').map_or(host, |(name, _)| name);
+        let found = self.by_host.get(host);
+        let keys = match found {
+            Some(keys) => keys,
+            None => self.by_host.get(&host.to_ascii_lowercase())?,
+        };
+        let mut keys = keys.iter().copied();
+        keys.find(|key| path.starts_with(&self.route(*key).prefix))
+    }
+}
--- /dev/null
+++ b/src/routes/difference.rs
@@ -0,0 +1,55 @@
+//! Differences between two versions, so that a change costs only its own size on the way to the nodes.
+
+use std::collections::BTreeMap;
+
+use crate::generated::{RouteDelta, RouteRow, RouteSet};
+
+/// Returns what a holder of `base` needs to hold `current`. Without a base it is everything.
+pub fn route_delta(base: Option<&RouteSet>, current: &RouteSet) -> RouteDelta {
+    let held: BTreeMap<&str, &RouteRow> = base
+        .into_iter()
+        .flat_map(|set| &set.routes)
+        .map(|row| (row.name.as_str(), row))
+        .collect();
+    let listed: BTreeMap<&str, &RouteRow> = current
+        .routes
+        .iter()
+        .map(|row| (row.name.as_str(), row))
+        .collect();
+    let is_changed = |row: &&RouteRow| held.get(row.name.as_str()) != Some(row);
+    let removed = held.keys().filter(|name| !listed.contains_key(*name));
+    RouteDelta {
+        base_version: base.map_or(0, |set| set.version),
+        version: current.version,
+        changed: current.routes.iter().filter(is_changed).cloned().collect(),
+        removed: removed.map(|name| (*name).to_owned()).collect(),
+        services: current.services.clone(),
+        limits: current.limits,
+    }
+}
+
+/// Returns the set that a difference leads to, or `None` if it is based on another version than the held one.
+pub fn apply_delta(held: &RouteSet, delta: &RouteDelta) -> Option<RouteSet> {
+    let is_whole = delta.base_version == 0;
+    if !is_whole && delta.base_version != held.version {
+        return None;
+    }
+    let mut rows: BTreeMap<String, RouteRow> = BTreeMap::new();
+    if !is_whole {
+        let held_rows = held.routes.iter().cloned();
+        rows.extend(held_rows.map(|row| (row.name.clone(), row)));
+    }
+    for name in &delta.removed {
+        rows.remove(name);
+    }
+    for row in &delta.changed {
+        rows.insert(row.name.clone(), row.clone());
+    }
+    Some(RouteSet {
+        version: delta.version,
+        routes: rows.into_values().collect(),
+        services: delta.services.clone(),
+        limits: delta.limits,
+        document: bytes::Bytes::new(),
+    })
+}
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -110,6 +110,11 @@
         self.targets.is_empty()
     }
 
+    /// Returns whether a target has its node at an address.
+    pub fn is_listed(&self, address: SocketAddr) -> bool {
+        self.targets.values().any(|slot| slot.address == address)
+    }
+
     /// Finds the target beside a node.
     pub fn key_of(&self, node_id: NodeId) -> Option<TargetKey> {
         self.by_node.get(&node_id).copied()
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,8 +1,9 @@
-//! Log lines on standard error and statsd metrics over UDP.
+//! Log lines on standard error or standard output, and statsd metrics over UDP.
 //!
 //! An event is logged with the macros of the `log` crate and structured keys, for example
 //! `log::info!(event = "listening", address:% = address; "")`.
 
+mod bounded;
 mod line;
 
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
@@ -57,6 +58,24 @@
     Ok(LogGuard { handle })
 }
 
+/// Starts logging to standard output. Lines that its reader does not take in time are dropped and counted, so that
+/// logging never blocks the process.
+pub fn start_bounded_logging() -> Result<LogGuard> {
+    let failed = |error: flexi_logger::FlexiLoggerError| {
+        MeshError::io("cannot start logging", std::io::Error::other(error))
+    };
+    let writer = bounded::BoundedWriter::start()
+        .map_err(|source| MeshError::io("cannot start the log writer", source))?;
+    let handle = Logger::try_with_env_or_str(DEFAULT_LEVELS)
+        .map_err(failed)?
+        .log_to_writer(Box::new(writer))
+        .format(line::write_line)
+        .use_utc()
+        .start()
+        .map_err(failed)?;
+    Ok(LogGuard { handle })
+}
+
 /// Creates a metrics client; without an address it discards all metrics.
 pub fn metrics_client(prefix: &str, address: Option<SocketAddr>) -> Result<StatsdClient> {
     let Some(address) = address else {
--- a/src/types/outcome.rs
+++ b/src/types/outcome.rs
@@ -99,6 +99,10 @@
     TargetLeaving => "target-leaving", SERVICE_UNAVAILABLE;
     /// The target does not accept connections.
     TargetDown => "target-down", SERVICE_UNAVAILABLE;
+    /// The target itself refused the request.
+    TargetRefused => "target-refused", SERVICE_UNAVAILABLE;
+    /// Another incarnation of the target has its address.
+    TargetReplaced => "target-replaced", SERVICE_UNAVAILABLE;
     /// No target is left to send to.
     NoTarget => "no-target", SERVICE_UNAVAILABLE;
     /// The chain's allowance of attempts is spent.
--- a/tests/support/registry.rs
+++ b/tests/support/registry.rs
@@ -147,6 +147,8 @@
             directory,
             shares,
             replicas: Vec::new(),
+            route_version: 0,
+            routes: None,
         }))
     }
 
