Prefer the nearest target while it is fast enough; count repeats through nested calls

Cause: targets were compared by latencies over all their endpoints, so a 15 ms call saw the 880 ms of another endpoint and left its zone; two thirds of the calls crossed zones.

--- a/examples/routing_policy/choose_cost.rs
+++ b/examples/routing_policy/choose_cost.rs
@@ -71,6 +71,7 @@
             service: &names[round as usize % services],
             endpoint: "/list",
             priority: RequestPriority::from_raw(100),
+            ample: std::time::Duration::ZERO,
             excluded: &[],
         };
         let before = Instant::now();
--- a/examples/routing_policy/target_faults.rs
+++ b/examples/routing_policy/target_faults.rs
@@ -157,6 +157,7 @@
             service: &self.service,
             endpoint: "/list",
             priority: RequestPriority::from_raw(100),
+            ample: std::time::Duration::ZERO,
             excluded: &[],
         };
         match table.choose(tick(now_us), &request, &mut self.rng) {
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -6,7 +6,6 @@
 
 use http::header::{HOST, HeaderValue};
 use http::{HeaderMap, StatusCode};
-use rand::RngCore;
 use tokio::time::timeout_at;
 use uuid::Uuid;
 
@@ -23,6 +22,9 @@
 const MAX_REFUSALS: u32 = 4;
 /// Time after which a client may come back where no better one is known: about a heartbeat.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Part of the latency objective within which the nearest target is good enough. The rest covers work that takes longer
+/// than the average, and bytes between zones are billed.
+const AMPLE_PART: f64 = 0.5;
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Request of a client, or of the own target.
@@ -101,6 +103,9 @@
     };
     let mut exchange = Exchange::new(state, &book, key, request, request_id, id);
     state.record_first(&exchange.hop.service);
+    if exchange.hop.is_repeat {
+        state.record_inherited(&exchange.hop.service);
+    }
     let answer = exchange.run().await;
     exchange.log_answer(&answer);
     answer
@@ -166,6 +171,7 @@
             attempt_id: new_attempt_id(),
             is_nested,
             is_at_most_once: route.repeat_kind == RepeatKind::AtMostOnce,
+            is_repeat: is_nested && state.draw(state.gate.repeat_share()),
             urgency: route.urgency,
             objective: route.objective,
             timeout: route.timeout,
@@ -206,23 +212,24 @@
             service: &self.hop.service,
             endpoint: &self.route.name,
             priority: RequestPriority::lowest_of(class_of(self.route.urgency)),
+            ample: self.route.objective.mul_f64(AMPLE_PART),
             excluded: &self.excluded,
         };
-        let mut rng = lock(&self.state.rng);
-        let rng: &mut dyn RngCore = &mut *rng;
-        let mut table = lock(&self.state.table);
-        match table.choose(self.state.now(), &request, rng) {
-            RouteDecision::Send(choice) => {
+        let decision = {
+            let mut rng = lock(&self.state.rng);
+            let mut table = lock(&self.state.table);
+            let decision = table.choose(self.state.now(), &request, &mut *rng);
+            if let RouteDecision::Send(choice) = &decision {
                 table.start(choice.key);
-                Ok(choice)
             }
+            decision
+        };
+        match decision {
+            RouteDecision::Send(choice) => Ok(choice),
             RouteDecision::Refuse {
                 reason,
                 retry_after,
-            } => {
-                drop(table);
-                Err(Box::new(self.give_up(reason, retry_after)))
-            }
+            } => Err(Box::new(self.give_up(reason, retry_after))),
         }
     }
 
@@ -280,7 +287,7 @@
         }
     }
 
-    fn after_answer(&self, answer: Answer) -> NextStep {
+    fn after_answer(&mut self, answer: Answer) -> NextStep {
         if !answer.status.is_server_error() || !self.may_repeat() {
             return NextStep::Answer(truthful(answer));
         }
@@ -294,7 +301,7 @@
             RefusalReason::TargetRefused | RefusalReason::TargetReplaced
         );
         // A request that reached a target counts in the budget of retries even if the target refused it.
-        let may_go_on = !has_arrived || self.state.try_retry(&self.hop.service);
+        let may_go_on = !has_arrived || self.try_retry();
         if self.refusals >= MAX_REFUSALS || !may_go_on {
             return NextStep::Answer(self.give_up(reason, wait));
         }
@@ -325,11 +332,17 @@
     }
 
     /// Decides whether the request may be sent again although an earlier attempt may have run.
-    fn may_repeat(&self) -> bool {
+    fn may_repeat(&mut self) -> bool {
         !self.hop.is_at_most_once
             && self.attempts < self.route.attempts
             && Instant::now() < self.end_at
-            && self.state.try_retry(&self.hop.service)
+            && self.try_retry()
+    }
+
+    fn try_retry(&mut self) -> bool {
+        let is_allowed = self.state.try_retry(&self.hop.service);
+        self.hop.is_repeat |= is_allowed;
+        is_allowed
     }
 
     /// Answers at the end of the time. Only a request that no target may have run is refused with a promise.
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -53,6 +53,8 @@
     handed_over: CancelTable,
     cancelled: CancelTable,
     connect_failures: u32,
+    /// Requests at the target that are repeats.
+    repeats: u32,
     is_stopping: bool,
 }
 
@@ -72,6 +74,7 @@
             handed_over: CancelTable::new(),
             cancelled: CancelTable::new(),
             connect_failures: 0,
+            repeats: 0,
             is_stopping: false,
         };
         Self {
@@ -146,6 +149,13 @@
         (state.queue.running(), state.queue.waiting())
     }
 
+    /// Returns the share of the requests at the target that are repeats. The calls that they cause are repeats too, but
+    /// a call does not name the request that it belongs to.
+    pub(super) fn repeat_share(&self) -> f64 {
+        let state = lock(&self.shared.state);
+        f64::from(state.repeats) / f64::from(state.queue.running().max(1))
+    }
+
     /// Refuses requests that can no longer start in time; to be called regularly.
     pub(super) fn tick(&self) {
         let now = self.shared.now();
@@ -213,7 +223,10 @@
             let (decision, actions) = state.queue.offer(now, slot_request);
             state.perform(now, actions);
             match decision {
-                SlotDecision::Start => return Ok(SlotGuard::new(Arc::clone(self))),
+                SlotDecision::Start => {
+                    state.repeats += u32::from(request.is_repeat);
+                    return Ok(SlotGuard::new(Arc::clone(self), request.is_repeat));
+                }
                 SlotDecision::Refuse { wait } => return Err((RefusalReason::QueueFull, wait)),
                 SlotDecision::Wait(key) => {
                     let (sender, grant) = oneshot::channel();
@@ -233,9 +246,12 @@
             Ok(Err(wait)) => return Err((RefusalReason::Displaced, wait)),
             Err(_) => return Err((RefusalReason::Stopping, Duration::ZERO)),
         }
-        let slot = SlotGuard::new(Arc::clone(self));
-        lock(&self.state).check(self.oldest_report(), request)?;
-        Ok(slot)
+        let slot = SlotGuard::new(Arc::clone(self), request.is_repeat);
+        let mut state = lock(&self.state);
+        state.repeats += u32::from(request.is_repeat);
+        let checked = state.check(self.oldest_report(), request);
+        drop(state);
+        checked.map(|()| slot)
     }
 
     async fn hand_over(
@@ -413,13 +429,15 @@
 #[derive(Debug)]
 struct SlotGuard {
     shared: Arc<GateShared>,
+    is_repeat: bool,
     service_time: Option<Duration>,
 }
 
 impl SlotGuard {
-    fn new(shared: Arc<GateShared>) -> Self {
+    fn new(shared: Arc<GateShared>, is_repeat: bool) -> Self {
         Self {
             shared,
+            is_repeat,
             service_time: None,
         }
     }
@@ -429,6 +447,9 @@
     fn drop(&mut self) {
         let now = self.shared.now();
         let mut state = lock(&self.shared.state);
+        if self.is_repeat {
+            state.repeats -= 1;
+        }
         let actions = state.queue.finish(now, self.service_time);
         state.perform(now, actions);
     }
--- a/src/gateway/hop.rs
+++ b/src/gateway/hop.rs
@@ -30,6 +30,7 @@
 const OWN_PREFIX: &str = "ebj-";
 const FLAG_NESTED: u8 = 1;
 const FLAG_AT_MOST_ONCE: u8 = 2;
+const FLAG_REPEAT: u8 = 4;
 
 const HOP_BY_HOP: [HeaderName; 8] = [
     CONNECTION,
@@ -59,6 +60,8 @@
     pub(super) attempt_id: AttemptId,
     pub(super) is_nested: bool,
     pub(super) is_at_most_once: bool,
+    /// Sent again, or caused by a request that was.
+    pub(super) is_repeat: bool,
     pub(super) urgency: u32,
     /// Time left until an answer is late.
     pub(super) objective: Duration,
@@ -106,6 +109,9 @@
         if self.is_at_most_once {
             flags |= FLAG_AT_MOST_ONCE;
         }
+        if self.is_repeat {
+            flags |= FLAG_REPEAT;
+        }
         let attempt = Uuid::from_bytes(*self.attempt_id.as_bytes());
         let fields = [
             (SERVICE, self.service.to_string()),
@@ -151,6 +157,7 @@
             attempt_id: text(&headers, &ATTEMPT)?.try_into()?,
             is_nested: flags & FLAG_NESTED != 0,
             is_at_most_once: flags & FLAG_AT_MOST_ONCE != 0,
+            is_repeat: flags & FLAG_REPEAT != 0,
             urgency: number(&headers, &URGENCY)?,
             objective: Duration::from_millis(number(&headers, &OBJECTIVE_MS)?),
             timeout: Duration::from_millis(number(&headers, &TIMEOUT_MS)?),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -27,10 +27,10 @@
 use super::peer_client::PeerClient;
 use super::sync::DirectoryPosition;
 
-/// Extra latency that a target in another zone must make up for; bytes between zones are billed.
-const ZONE_COST: Duration = Duration::from_millis(60);
-/// The same for another region, with its round trip.
-const REGION_COST: Duration = Duration::from_millis(90);
+/// Time that a target in another zone must save to be worth the bytes between zones.
+const ZONE_SURCHARGE: Duration = Duration::from_millis(60);
+/// The same for another region.
+const REGION_SURCHARGE: Duration = Duration::from_millis(70);
 /// Share of the permitted retries that nodes spend: retries below the services that are called count there as well.
 const BUDGET_PART: f64 = 0.5;
 
@@ -67,8 +67,8 @@
 impl GatewayState {
     pub(super) fn new(config: GatewayConfig) -> Self {
         let settings = RoutingSettings {
-            zone_cost: ZONE_COST,
-            region_cost: REGION_COST,
+            zone_surcharge: ZONE_SURCHARGE,
+            region_surcharge: REGION_SURCHARGE,
             ..RoutingSettings::default()
         };
         let table = TargetTable::new(settings, config.zone.clone(), config.region.clone());
@@ -140,6 +140,12 @@
         self.with_budget(service, |budget| budget.record_first(now));
     }
 
+    /// Counts a request that is a repeat because the request that caused it is one.
+    pub(super) fn record_inherited(&self, service: &ServiceName) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.record_inherited(now));
+    }
+
     /// Counts a retry if the share of this node in the budget of all nodes allows it.
     pub(super) fn try_retry(&self, service: &ServiceName) -> bool {
         let now = self.now();
@@ -170,6 +176,11 @@
         }
     }
 
+    /// Returns true with the given probability.
+    pub(super) fn draw(&self, probability: f64) -> bool {
+        probability > 0.0 && lock(&self.rng).random_bool(probability.min(1.0))
+    }
+
     pub(super) fn jitter(&self, mean: Duration) -> Duration {
         mean.mul_f64(lock(&self.rng).random_range(0.75..1.25))
     }
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -88,6 +88,7 @@
         service: &call.context.service,
         endpoint: &call.context.endpoint,
         priority: call.context.priority,
+        ample: Duration::ZERO,
         excluded: &progress.tried,
     };
     let decision = {
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -44,6 +44,13 @@
         bucket.first = bucket.first.saturating_add(1);
     }
 
+    /// Counts a request that is a repeat because the request that caused it is one. It uses the budget up, but it was
+    /// decided elsewhere.
+    pub fn record_inherited(&mut self, now: TickTime) {
+        let bucket = self.current_bucket(now);
+        bucket.retries = bucket.retries.saturating_add(1);
+    }
+
     /// Counts a retry and returns true if it stays within the budget.
     pub fn try_retry(&mut self, now: TickTime) -> bool {
         self.expire(now);
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -34,6 +34,9 @@
     pub endpoint: &'a str,
     /// Shedding order of the request.
     pub priority: RequestPriority,
+    /// Expected completion time up to which a nearer target is preferred to a faster one farther away; zero to prefer
+    /// the faster one in any case.
+    pub ample: Duration,
     /// Targets that earlier attempts of this call went to.
     pub excluded: &'a [TargetKey],
 }
@@ -106,7 +109,8 @@
         }
         let is_last_resort = candidates.is_empty();
         let probe = self.recovery_probe(service, request, is_last_resort, rng);
-        let chosen = probe.or_else(|| self.choose_candidate(now, service, &candidates, rng));
+        let chosen =
+            probe.or_else(|| self.choose_candidate(now, service, &candidates, request, rng));
         chosen.map_or_else(
             || refuse(RefusalReason::NoTarget, NO_TARGET_RETRY, &mut *rng),
             |key| self.send(key),
@@ -208,16 +212,17 @@
         rng.random_bool(chance).then_some(key)
     }
 
-    /// Takes the better of two at each distance, and a farther one only if it completes earlier.
+    /// Takes the better of two at each distance, and a farther one only if it completes earlier and the nearer one not
+    /// within the ample time.
     fn choose_candidate(
         &self,
         now: TickTime,
         service: &ServiceTargets,
         candidates: &[RouteCandidate],
+        request: &RouteRequest<'_>,
         rng: &mut dyn RngCore,
     ) -> Option<TargetKey> {
-        let first_s = self.settings.first_latency.as_secs_f64();
-        let typical_s = service.typical_s.unwrap_or(first_s);
+        let typical_s = service.typical.get(request.endpoint);
         let completion = |key: TargetKey| {
             let slot = &self.targets[key];
             slot.completion(now, typical_s, &self.settings)
@@ -227,6 +232,9 @@
             let Some(best) = best_of_two(candidates, tier, &completion, rng) else {
                 continue;
             };
+            if best.1.spill_s <= request.ample.as_secs_f64() && chosen.is_none() {
+                return Some(best.0);
+            }
             if chosen.is_none_or(|nearer| best.1.spill_s < nearer.1.spill_s) {
                 chosen = Some(best);
             }
@@ -239,14 +247,17 @@
     fn completion(
         &self,
         now: TickTime,
-        typical_s: f64,
+        typical_s: Option<f64>,
         settings: &RoutingSettings,
     ) -> CompletionTime {
         let half_life = settings.latency_memory;
-        let service_s = self.estimate.service_time(now, half_life, typical_s);
+        let first_s = settings.first_latency.as_secs_f64();
+        let scaled_s = self.estimate.service_time(now, half_life, first_s);
+        let service_s = scaled_s * typical_s.map_or(1.0, |typical_s| typical_s / first_s);
         let wait_s = self.estimate.wait(now);
         let in_flight = f64::from(self.in_flight);
-        let path_s = self.tier.cost(settings).as_secs_f64();
+        let path = self.tier.cost(settings) + self.tier.surcharge(settings);
+        let path_s = path.as_secs_f64();
         let occupied = in_flight / f64::from(self.slots);
         CompletionTime {
             local_s: service_s * (in_flight + 1.0) + wait_s,
--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -22,7 +22,8 @@
 /// What this node measured at one target, and what the target reported.
 #[derive(Debug, Clone, Default)]
 pub(super) struct TargetEstimate {
-    // Seconds, without the path cost; 0 before the first sample.
+    // Seconds without the path cost, scaled so that a typical latency of any endpoint counts as the first latency; 0
+    // before the first sample.
     latency_s: f64,
     failure: f64,
     measured_at: TickTime,
@@ -38,12 +39,19 @@
 }
 
 impl TargetEstimate {
-    pub(super) fn add(&mut self, now: TickTime, half_life: Duration, sample: AttemptSample) {
+    /// Takes a sample over; `scale` is the first latency over the typical one of the endpoint.
+    pub(super) fn add(
+        &mut self,
+        now: TickTime,
+        half_life: Duration,
+        sample: AttemptSample,
+        scale: f64,
+    ) {
         let latency_s = if sample.is_failure {
             sample.latency.max(MIN_FAILURE_LATENCY).as_secs_f64()
         } else {
             sample.latency.as_secs_f64()
-        };
+        } * scale;
         let fade = decay(now - self.measured_at, half_life);
         // A rise counts more than a fall, so that a stalled target is noticed by one answer; the
         // older the average is, the less it counts.
@@ -59,9 +67,9 @@
         self.measured_at = now;
     }
 
-    pub(super) fn note_wait(&mut self, now: TickTime, wait: Option<Duration>) {
+    pub(super) fn note_wait(&mut self, now: TickTime, wait: Option<Duration>, scale: f64) {
         if let Some(wait) = wait {
-            let believed = self.latency_s * MAX_WAIT_FACTOR;
+            let believed = self.latency_s / scale * MAX_WAIT_FACTOR;
             self.reported_wait_s = wait.as_secs_f64().min(believed);
             self.reported_at = now;
         }
@@ -74,14 +82,15 @@
 
     /// Returns the expected time of one request in seconds, without path cost.
     ///
-    /// A latency above the typical one of the service fades towards it, so that a target that was
-    /// slow is tried again; it does not fade further, or unused targets would look the fastest.
+    /// A latency fades towards the typical one, so that a target that was slow is tried again, and one that was fast
+    /// while the others were slow does not look fast for good. It does not fade further, or unused targets would look
+    /// the fastest.
     pub(super) fn service_time(&self, now: TickTime, half_life: Duration, typical_s: f64) -> f64 {
         if self.latency_s == 0.0 {
             return typical_s;
         }
         let fade = decay(now - self.measured_at, half_life);
-        let excess = (self.latency_s - typical_s).max(0.0);
+        let excess = self.latency_s - typical_s;
         let latency = self.latency_s - excess * (1.0 - fade);
         let failure = (self.failure * fade).min(MAX_FAILURE);
         latency / (1.0 - failure)
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -56,6 +56,10 @@
     pub zone_cost: Duration,
     /// Cost of a call to another region.
     pub region_cost: Duration,
+    /// Extra time that a call to another zone must save, beyond the way there, because the bytes are billed.
+    pub zone_surcharge: Duration,
+    /// The same for a call to another region.
+    pub region_surcharge: Duration,
     /// Failures in a row after which a target is ejected.
     pub eject_after_failures: u32,
     /// Attempts from which the ratio of failures is judged.
@@ -87,6 +91,8 @@
             first_latency: DEFAULT_FIRST_LATENCY,
             zone_cost: DEFAULT_ZONE_COST,
             region_cost: DEFAULT_REGION_COST,
+            zone_surcharge: Duration::ZERO,
+            region_surcharge: Duration::ZERO,
             eject_after_failures: DEFAULT_EJECT_AFTER_FAILURES,
             eject_min_attempts: DEFAULT_EJECT_MIN_ATTEMPTS,
             eject_for: DEFAULT_EJECT_FOR,
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -16,10 +16,14 @@
 
 /// Weight of one answer in the latency that is typical of a service.
 const TYPICAL_GAIN: f64 = 0.05;
+/// Typical latencies below this count as this long.
+const LEAST_LATENCY_S: f64 = 0.000_01;
 /// Multiple of the typical latency from which an answer counts as slow.
 const SLOW_FACTOR: f64 = 4.0;
 /// Slow answers in a row after which a target is held back.
 const SLOW_ANSWERS: u8 = 3;
+/// Endpoints of a service whose latencies are kept apart; later ones count as if they had the first latency.
+const MAX_ENDPOINTS: usize = 1_024;
 /// Services remembered as called; only granted services get this far.
 const MAX_CALLED_SERVICES: usize = 1_024;
 
@@ -45,6 +49,21 @@
             Self::OtherRegion => settings.region_cost,
         }
     }
+
+    pub(super) const fn surcharge(self, settings: &RoutingSettings) -> Duration {
+        match self {
+            Self::SameZone => Duration::ZERO,
+            Self::SameRegion => settings.zone_surcharge,
+            Self::OtherRegion => settings.region_surcharge,
+        }
+    }
+
+    /// Returns the part of a latency that the target took. The way may take less than its cost, so a part of the
+    /// latency is always the target's.
+    fn target_latency(self, latency: Duration, settings: &RoutingSettings) -> Duration {
+        let rest = latency.saturating_sub(self.cost(settings));
+        rest.max(latency.mul_f64(LEAST_TARGET_PART))
+    }
 }
 
 /// One target.
@@ -69,7 +88,40 @@
 pub(super) struct ServiceTargets {
     pub(super) keys: Vec<TargetKey>,
     pub(super) levels: LevelBook,
-    pub(super) typical_s: Option<f64>,
+    pub(super) typical: TypicalLatencies,
+}
+
+/// Smallest part of a latency that counts as the target's.
+const LEAST_TARGET_PART: f64 = 0.25;
+
+/// Latency that is typical of each endpoint of a service, over all its targets.
+///
+/// Endpoints of one service may differ by a factor of fifty. What is measured at a target is kept relative to these, so
+/// that slow requests do not make their target look slow for quick ones.
+#[derive(Debug, Default)]
+pub(super) struct TypicalLatencies {
+    by_endpoint: BTreeMap<String, f64>,
+}
+
+impl TypicalLatencies {
+    /// Returns the typical latency of an endpoint in seconds.
+    pub(super) fn get(&self, endpoint: &str) -> Option<f64> {
+        self.by_endpoint.get(endpoint).copied()
+    }
+
+    fn note(&mut self, endpoint: &str, latency: Duration) {
+        let latency_s = latency.as_secs_f64();
+        if let Some(typical) = self.by_endpoint.get_mut(endpoint) {
+            *typical += TYPICAL_GAIN * (latency_s - *typical);
+        } else if self.by_endpoint.len() < MAX_ENDPOINTS {
+            self.by_endpoint.insert(endpoint.to_owned(), latency_s);
+        }
+    }
+
+    fn is_slow(&self, endpoint: &str, latency: Duration) -> bool {
+        let typical = self.get(endpoint);
+        typical.is_some_and(|typical_s| latency.as_secs_f64() > typical_s * SLOW_FACTOR)
+    }
 }
 
 /// Directory of a node and its measurements; chooses a target for each attempt.
@@ -268,19 +320,26 @@
         if report.leaving || result.is_leaving() {
             slot.handle(&HealthEvent::Leaving { now }, settings);
         }
-        slot.estimate.note_wait(now, report.queue_wait);
+        let first_s = settings.first_latency.as_secs_f64();
+        // The first sample of an endpoint is typical of it.
+        let own_latency = slot.tier.target_latency(latency, settings);
+        let typical_s = service.typical.get(endpoint);
+        let typical_s = typical_s.unwrap_or(own_latency.as_secs_f64());
+        let scale = first_s / typical_s.max(LEAST_LATENCY_S);
+        slot.estimate.note_wait(now, report.queue_wait, scale);
         let Some(is_success) = result.verdict() else {
             return;
         };
         let sample = AttemptSample {
-            latency: latency.saturating_sub(slot.tier.cost(settings)),
+            latency: own_latency,
             is_failure: !is_success,
         };
-        slot.estimate.add(now, settings.latency_memory, sample);
+        slot.estimate
+            .add(now, settings.latency_memory, sample, scale);
         if is_success {
-            let is_slow = service.is_slow(sample.latency);
+            let is_slow = service.typical.is_slow(endpoint, sample.latency);
             slot.note_slowness(now, is_slow, settings);
-            service.note_typical(sample.latency);
+            service.typical.note(endpoint, sample.latency);
         }
         let event = HealthEvent::Verdict {
             now,
@@ -370,20 +429,6 @@
     settings.ejection_bound.limit(ready)
 }
 
-impl ServiceTargets {
-    fn is_slow(&self, latency: Duration) -> bool {
-        let latency_s = latency.as_secs_f64();
-        self.typical_s
-            .is_some_and(|typical_s| latency_s > typical_s * SLOW_FACTOR)
-    }
-
-    fn note_typical(&mut self, latency: Duration) {
-        let latency_s = latency.as_secs_f64();
-        let typical = self.typical_s.get_or_insert(latency_s);
-        *typical += TYPICAL_GAIN * (latency_s - *typical);
-    }
-}
-
 impl TargetSlot {
     fn update(&mut self, now: TickTime, record: &TargetRecord, settings: &RoutingSettings) {
         self.address = record.address;
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -88,6 +88,7 @@
             service: &orders(),
             endpoint: "/list",
             priority: self.priority,
+            ample: Duration::ZERO,
             excluded,
         };
         self.table.choose(self.now, &request, &mut self.rng)
