--- /dev/null
+++ b/tests/announced_target.rs
@@ -0,0 +1,86 @@
+//! Reports of a target that arrive late, twice or from another incarnation.
+
+use ebonyjunction::gateway::{AnnouncedTarget, ReportVerdict, TargetReport};
+use ebonyjunction::routing::TargetState;
+use ebonyjunction::types::TickTime;
+
+fn at(millis: u64) -> TickTime {
+    TickTime::from_millis(millis)
+}
+
+fn report(id: &str, born_ms: u64, sequence: u64, state: TargetState) -> TargetReport {
+    TargetReport {
+        id: id.to_owned(),
+        born_ms,
+        sequence,
+        service: "orders".try_into().unwrap(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        slots: 4,
+        state,
+    }
+}
+
+// Guards against a delayed report that makes a leaving target ready again.
+#[test]
+fn report_late_ready() {
+    let mut target = AnnouncedTarget::default();
+    target.report(at(0), report("a", 10, 1, TargetState::Ready));
+    target.report(at(1), report("a", 10, 3, TargetState::Leaving));
+    let late = target.report(at(2), report("a", 10, 2, TargetState::Ready));
+    assert_eq!(late, ReportVerdict::Outdated);
+    let next = target.report(at(3), report("a", 10, 4, TargetState::Ready));
+    assert_eq!(next, ReportVerdict::Updated);
+    assert!(target.ready(at(0)).is_none());
+}
+
+// Guards against work for a dead incarnation whose delayed report arrives after its successor's.
+#[test]
+fn report_dead_incarnation() {
+    let mut target = AnnouncedTarget::default();
+    target.report(at(0), report("a", 10, 7, TargetState::Ready));
+    let verdict = target.report(at(1), report("b", 20, 1, TargetState::Ready));
+    assert_eq!(verdict, ReportVerdict::NewIncarnation);
+    let verdict = target.report(at(2), report("a", 10, 8, TargetState::Ready));
+    assert_eq!(verdict, ReportVerdict::Outdated);
+    assert_eq!(target.ready(at(0)).map(|it| it.id.as_str()), Some("b"));
+}
+
+// Guards against a restarted target that is taken for its former self because it kept its id and counts anew.
+#[test]
+fn report_same_id_reborn() {
+    let mut target = AnnouncedTarget::default();
+    target.report(at(0), report("a", 10, 50, TargetState::Leaving));
+    let verdict = target.report(at(1), report("a", 20, 1, TargetState::Ready));
+    assert_eq!(verdict, ReportVerdict::NewIncarnation);
+    assert!(target.ready(at(0)).is_some());
+}
+
+// Guards against a target that comes back by a report sent before it left.
+#[test]
+fn remove_then_late_report() {
+    let mut target = AnnouncedTarget::default();
+    target.report(at(0), report("a", 10, 1, TargetState::Ready));
+    assert!(target.remove("a", 1_000));
+    let late = target.report(at(1), report("a", 10, 2, TargetState::Ready));
+    assert_eq!(late, ReportVerdict::Outdated);
+}
+
+// Guards against the same at a node that restarted and did not know the target yet.
+#[test]
+fn remove_unknown_then_late_report() {
+    let mut target = AnnouncedTarget::default();
+    assert!(!target.remove("a", 1_000));
+    let late = target.report(at(1), report("a", 10, 2, TargetState::Ready));
+    assert_eq!(late, ReportVerdict::Outdated);
+    let reborn = target.report(at(2), report("a", 2_000, 1, TargetState::Ready));
+    assert_eq!(reborn, ReportVerdict::NewIncarnation);
+}
+
+// Guards against work for a target that has fallen silent.
+#[test]
+fn ready_silent_target() {
+    let mut target = AnnouncedTarget::default();
+    target.report(at(100), report("a", 10, 1, TargetState::Ready));
+    assert!(target.ready(at(100)).is_some());
+    assert!(target.ready(at(101)).is_none());
+}
--- /dev/null
+++ b/tests/slot_queue.rs
@@ -0,0 +1,146 @@
+//! Slots of a target under named load patterns, without a network.
+
+use std::time::Duration;
+
+use ebonyjunction::admission::{SlotAction, SlotDecision, SlotQueue, SlotRequest, WaitKey};
+use ebonyjunction::types::TickTime;
+
+const SERVICE_TIME: Duration = Duration::from_millis(100);
+
+fn at(millis: u64) -> TickTime {
+    TickTime::from_millis(millis)
+}
+
+fn request(now: u64, urgency: u32, objective_ms: u64) -> SlotRequest {
+    SlotRequest {
+        is_nested: false,
+        urgency,
+        objective: at(now + objective_ms),
+        deadline: at(now + objective_ms * 3),
+    }
+}
+
+/// A queue that has measured the service time and has no free slot.
+fn busy_queue(slots: u32) -> SlotQueue {
+    let mut queue = SlotQueue::new(slots);
+    for _ in 0..slots {
+        assert_eq!(
+            queue.offer(at(0), request(0, 2, 1_000)).0,
+            SlotDecision::Start
+        );
+    }
+    for _ in 0..50 {
+        queue.finish(at(0), Some(SERVICE_TIME));
+        queue.offer(at(0), request(0, 2, 1_000));
+    }
+    queue
+}
+
+fn wait(queue: &mut SlotQueue, request: SlotRequest) -> WaitKey {
+    match queue.offer(at(0), request).0 {
+        SlotDecision::Wait(key) => key,
+        other => panic!("{other:?}"),
+    }
+}
+
+// Surge: guards against reads that start before confirmations because they came first.
+#[test]
+fn finish_urgent_first() {
+    let mut queue = busy_queue(1);
+    let read = wait(&mut queue, request(0, 2, 1_000));
+    let payment = wait(&mut queue, request(0, 0, 1_000));
+    assert_eq!(
+        queue.finish(at(10), Some(SERVICE_TIME)),
+        [SlotAction::Start(payment)]
+    );
+    assert_eq!(
+        queue.finish(at(20), Some(SERVICE_TIME)),
+        [SlotAction::Start(read)]
+    );
+}
+
+// Call-graph coupling: guards against calls of running requests that wait behind new work while their parents hold
+// slots elsewhere.
+#[test]
+fn finish_nested_first() {
+    let mut queue = busy_queue(1);
+    let _payment = wait(&mut queue, request(0, 0, 1_000));
+    let nested = SlotRequest {
+        is_nested: true,
+        ..request(0, 5, 300)
+    };
+    let call = wait(&mut queue, nested);
+    assert_eq!(queue.finish(at(10), None), [SlotAction::Start(call)]);
+}
+
+// Slow target: guards against work that waits although it cannot start within its objective.
+#[test]
+fn offer_hopeless_wait() {
+    let mut queue = busy_queue(1);
+    for _ in 0..3 {
+        wait(&mut queue, request(0, 2, 1_000));
+    }
+    let (decision, actions) = queue.offer(at(0), request(0, 2, 300));
+    let SlotDecision::Refuse { wait } = decision else {
+        panic!("{decision:?}");
+    };
+    assert!(wait > Duration::from_millis(300), "{wait:?}");
+    assert!(actions.is_empty());
+}
+
+// Impatient retries: guards against a queue that grows without bound, and against urgent work that is refused while
+// less urgent work waits.
+#[test]
+fn offer_displaces_last() {
+    let mut queue = SlotQueue::new(1);
+    queue.offer(at(0), request(0, 2, 60_000));
+    let mut reads = Vec::new();
+    loop {
+        match queue.offer(at(0), request(0, 2, 60_000)).0 {
+            SlotDecision::Wait(key) => reads.push(key),
+            SlotDecision::Refuse { .. } => break,
+            SlotDecision::Start => panic!("the slot is taken"),
+        }
+    }
+    let (decision, actions) = queue.offer(at(0), request(0, 0, 60_000));
+    assert!(matches!(decision, SlotDecision::Wait(_)), "{decision:?}");
+    assert!(
+        matches!(actions[..], [SlotAction::Refuse(key, _)] if Some(&key) == reads.last()),
+        "{actions:?}"
+    );
+}
+
+// Slow target: guards against requests that are held until their clients give up.
+#[test]
+fn expire_after_objective() {
+    let mut queue = busy_queue(1);
+    let key = wait(&mut queue, request(0, 2, 400));
+    assert!(queue.expire(at(399)).is_empty());
+    let actions = queue.expire(at(401));
+    assert!(
+        matches!(actions[..], [SlotAction::Refuse(refused, _)] if refused == key),
+        "{actions:?}"
+    );
+    assert_eq!(queue.waiting(), 0);
+}
+
+// Guards against a slot that is lost when a waiting request is given up.
+#[test]
+fn cancel_waiting() {
+    let mut queue = busy_queue(1);
+    let left = wait(&mut queue, request(0, 2, 1_000));
+    let next = wait(&mut queue, request(0, 2, 1_000));
+    assert!(queue.cancel(left));
+    assert!(!queue.cancel(left));
+    assert_eq!(queue.finish(at(10), None), [SlotAction::Start(next)]);
+}
+
+// Drain: guards against waiting requests that start after the target said that it leaves.
+#[test]
+fn refuse_all_waiting() {
+    let mut queue = busy_queue(2);
+    wait(&mut queue, request(0, 0, 1_000));
+    wait(&mut queue, request(0, 2, 1_000));
+    assert_eq!(queue.refuse_all().len(), 2);
+    assert!(queue.finish(at(10), None).is_empty());
+}
