Wait for the next token of a small lease; widen the window of a replica that is far behind

Ruled out: leases without capacity (the ledger grants none); larger appends alone (one entry per append is drawn).

Also: calls of a target inherit urgency, deadline and repeat of the request that their id extends; some slots are kept for them; failed requests are repeated only while the repeat can be in time; targets that refuse are avoided.

--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -16,6 +16,10 @@
 const SERVICE_TIME_GAIN: f64 = 0.1;
 /// Service time assumed before the first answer; it only has to lie in the range of common requests.
 const FIRST_SERVICE_TIME: Duration = Duration::from_millis(100);
+/// Part of the slots that only calls of running requests may use.
+const NESTED_PART: f64 = 0.25;
+/// Time after the last such call for which the slots are kept.
+const NESTED_MEMORY: Duration = Duration::from_secs(2);
 /// Waiting requests for each slot; more would wait for longer than any objective.
 const WAITING_PER_SLOT: usize = 8;
 
@@ -78,6 +82,8 @@
 pub struct SlotQueue {
     slots: u32,
     running: u32,
+    running_nested: u32,
+    nested_seen_at: Option<TickTime>,
     entries: SlotMap<WaitKey, WaitEntry>,
     waiting: BTreeMap<WaitRank, WaitKey>,
     sequence: u64,
@@ -90,6 +96,8 @@
         Self {
             slots,
             running: 0,
+            running_nested: 0,
+            nested_seen_at: None,
             entries: SlotMap::with_key(),
             waiting: BTreeMap::new(),
             sequence: 0,
@@ -131,8 +139,15 @@
             let wait = Duration::ZERO;
             return (SlotDecision::Refuse { wait }, actions);
         }
-        if self.running < self.slots && self.waiting.is_empty() {
-            self.running += 1;
+        if request.is_nested {
+            self.nested_seen_at = Some(now);
+        }
+        let is_first = match self.waiting.first_key_value() {
+            Some((first, _)) => request.is_nested && first.is_outer,
+            None => true,
+        };
+        if self.has_room(now, request.is_nested) && is_first {
+            self.occupy(request.is_nested);
             return (SlotDecision::Start, actions);
         }
         self.sequence += 1;
@@ -153,8 +168,16 @@
 
     /// Ends a request that held a slot and starts those that waited for it. `service_time` is absent if the request
     /// says nothing about the speed of the target.
-    pub fn finish(&mut self, now: TickTime, service_time: Option<Duration>) -> Vec<SlotAction> {
+    pub fn finish(
+        &mut self,
+        now: TickTime,
+        is_nested: bool,
+        service_time: Option<Duration>,
+    ) -> Vec<SlotAction> {
         self.running = self.running.saturating_sub(1);
+        if is_nested {
+            self.running_nested = self.running_nested.saturating_sub(1);
+        }
         if let Some(sample) = service_time {
             let sample_s = sample.as_secs_f64();
             let mean = self.service_time.get_or_insert(sample_s);
@@ -189,10 +212,12 @@
     /// Starts waiting requests while slots are free.
     pub fn start_waiting(&mut self, now: TickTime) -> Vec<SlotAction> {
         let mut actions = Vec::new();
-        while self.running < self.slots {
-            let Some((_, key)) = self.waiting.pop_first() else {
+        while let Some((rank, key)) = self.waiting.first_key_value() {
+            let (rank, key) = (*rank, *key);
+            if !self.has_room(now, !rank.is_outer) {
                 break;
-            };
+            }
+            self.waiting.remove(&rank);
             let Some(entry) = self.entries.remove(key) else {
                 continue;
             };
@@ -200,12 +225,33 @@
                 actions.push(SlotAction::Refuse(key, Duration::ZERO));
                 continue;
             }
-            self.running += 1;
+            self.occupy(entry.request.is_nested);
             actions.push(SlotAction::Start(key));
         }
         actions
     }
 
+    /// Returns whether a request may start. While calls of running requests arrive, other requests leave some slots free
+    /// for them: a call that takes 50 ms must not wait until one of many long requests ends.
+    fn has_room(&self, now: TickTime, is_nested: bool) -> bool {
+        if self.running >= self.slots {
+            return false;
+        }
+        let is_shared = self
+            .nested_seen_at
+            .is_some_and(|at| now.saturating_since(at) <= NESTED_MEMORY);
+        if is_nested || !is_shared {
+            return true;
+        }
+        let reserved = (f64::from(self.slots) * NESTED_PART) as u32;
+        self.running - self.running_nested < self.slots - reserved
+    }
+
+    fn occupy(&mut self, is_nested: bool) {
+        self.running += 1;
+        self.running_nested += u32::from(is_nested);
+    }
+
     fn latest_start(request: &SlotRequest) -> TickTime {
         request.objective.min(request.deadline)
     }
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -174,7 +174,7 @@
         let previous_term = self.store.term_at(previous_index).filter(|_| is_held);
         let can_take = !peer.is_probing
             && peer.transfer.is_none()
-            && peer.in_flight() < self.settings.max_in_flight_appends;
+            && peer.has_window(self.settings.max_in_flight_appends);
         if can_take && previous_term.is_none() {
             self.start_snapshot(now, disk_id);
         }
@@ -227,6 +227,7 @@
             return Ok(());
         };
         let latest_sequence = leading.sequence;
+        let max_in_flight = self.settings.max_in_flight_appends;
         let Some(peer) = leading.peers.get_mut(&reply.disk_id) else {
             return Ok(());
         };
@@ -237,6 +238,7 @@
         let is_outdated = reply.sequence <= peer.reset_sequence;
         if reply.accepted {
             peer.is_probing &= is_outdated;
+            peer.widen_window(last_index, max_in_flight);
             self.advance_commit();
             self.promote_learner(now)?;
             self.send_append(now, &reply.disk_id, false);
--- a/src/consensus/peer_progress.rs
+++ b/src/consensus/peer_progress.rs
@@ -11,6 +11,9 @@
 /// Remembered send times; an answer to an older append does not confirm the leader.
 const MAX_REMEMBERED_SENDS: usize = 256;
 
+/// Largest window relative to the settings.
+const WINDOW_GROWTH: usize = 8;
+
 /// Replication state of one other replica.
 #[derive(Debug)]
 pub(super) struct PeerProgress {
@@ -28,6 +31,8 @@
     pub(super) transfer: Option<OutgoingSnapshot>,
     /// Holds everything on disk that was committed when the latest answered append was sent.
     pub(super) is_caught_up: bool,
+    /// Unanswered appends allowed beyond the settings, because the replica answers and is far behind.
+    extra_window: usize,
     sends: VecDeque<SentAppend>,
 }
 
@@ -60,6 +65,7 @@
             confirmed_at: None,
             transfer: None,
             is_caught_up: false,
+            extra_window: 0,
             sends: VecDeque::new(),
         }
     }
@@ -90,8 +96,21 @@
         }
     }
 
-    pub(super) fn in_flight(&self) -> usize {
-        self.sends.len()
+    /// Returns whether another append may be sent. Over a long way, a small window would make a backlog last for
+    /// minutes, so it grows with each answer while entries are left to send.
+    pub(super) fn has_window(&self, max_in_flight: usize) -> bool {
+        let window = (max_in_flight + self.extra_window).min(MAX_REMEMBERED_SENDS);
+        self.sends.len() < window
+    }
+
+    /// Widens the window after an answer, if entries are left to send.
+    pub(super) fn widen_window(&mut self, last_index: u64, max_in_flight: usize) {
+        if self.next_index <= last_index {
+            let bound = max_in_flight * (WINDOW_GROWTH - 1);
+            self.extra_window = (self.extra_window + 1).min(bound);
+        } else {
+            self.extra_window = 0;
+        }
     }
 
     /// Raises the matching position.
@@ -105,6 +124,7 @@
         let earliest = self.match_index + 1;
         self.next_index = (hint + 1).min(self.next_index).max(earliest);
         self.is_probing = true;
+        self.extra_window = 0;
         self.reset_sequence = latest_sequence;
     }
 }
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -3,7 +3,6 @@
 use std::collections::VecDeque;
 use std::fmt::Write;
 use std::io;
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -39,8 +38,8 @@
             () = state.closing.cancelled() => return,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                let connection = ClientConnection::new(&state, stream, peer.ip());
+            Ok((stream, _)) => {
+                let connection = ClientConnection::new(&state, stream);
                 state.tasks.spawn(connection.run());
             }
             Err(error) => {
@@ -66,7 +65,6 @@
     pending: VecDeque<PendingAnswer>,
     /// Request with effects behind others; it starts when they are answered.
     held: Option<FramedRequest>,
-    is_nested: bool,
     /// No further request is read.
     is_last: bool,
     quiet_since: Instant,
@@ -81,18 +79,15 @@
 }
 
 impl ClientConnection {
-    fn new(state: &Arc<GatewayState>, stream: TcpStream, peer: IpAddr) -> Self {
+    fn new(state: &Arc<GatewayState>, stream: TcpStream) -> Self {
         let book = state.book();
         let limits = book.limits();
-        let own = state.config.client_addresses.iter();
-        let is_nested = own.clone().any(|address| address.ip() == peer);
         Self {
             state: Arc::clone(state),
             stream,
             framer: RequestFramer::new(limits.header_bytes, limits.body_bytes),
             pending: VecDeque::new(),
             held: None,
-            is_nested,
             is_last: false,
             quiet_since: Instant::now(),
         }
@@ -223,7 +218,6 @@
         let state = Arc::clone(&self.state);
         let request = EntryRequest {
             framed,
-            is_nested: self.is_nested,
             arrived_at: Instant::now(),
         };
         let task = tokio::spawn(async move { serve(&state, request).await });
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -25,14 +25,17 @@
 /// Part of the latency objective within which the nearest target is good enough. The rest covers work that takes longer
 /// than the average, and bytes between zones are billed.
 const AMPLE_PART: f64 = 0.5;
+/// Part for calls of running requests: several of them in a row must fit into their parent's objective.
+const NESTED_AMPLE_PART: f64 = 0.5;
+/// Part of the latency objective after which a failed request is not sent again: the repeat would be late, and its work
+/// would be missing elsewhere.
+const LATEST_REPEAT_PART: f64 = 0.4;
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Request of a client, or of the own target.
 #[derive(Debug)]
 pub(super) struct EntryRequest {
     pub(super) framed: FramedRequest,
-    /// Sent by the own target while it runs another request.
-    pub(super) is_nested: bool,
     pub(super) arrived_at: Instant,
 }
 
@@ -146,13 +149,10 @@
     ) -> Self {
         let route = book.route(key);
         let part = lock(&state.counters).next_part(route);
-        let EntryRequest {
-            framed,
-            is_nested,
-            arrived_at,
-        } = request;
+        let EntryRequest { framed, arrived_at } = request;
         let mut headers = framed.headers;
         let deadline = read_deadline(&headers, state).unwrap_or(route.timeout);
+        let parent = state.gate.parent_of(&id);
         strip_connection_headers(&mut headers);
         headers.remove(HOST);
         let names = &state.config.names;
@@ -169,13 +169,17 @@
             caller: state.config.service.clone(),
             request_id,
             attempt_id: new_attempt_id(),
-            is_nested,
+            is_nested: parent.is_some(),
             is_at_most_once: route.repeat_kind == RepeatKind::AtMostOnce,
-            is_repeat: is_nested && state.draw(state.gate.repeat_share()),
-            urgency: route.urgency,
+            is_repeat: parent.is_some_and(|parent| parent.is_repeat),
+            urgency: parent.map_or(route.urgency, |parent| parent.urgency),
             objective: route.objective,
             timeout: route.timeout,
         };
+        let mut end_at = arrived_at + deadline.min(route.timeout);
+        if let Some(parent) = parent {
+            end_at = end_at.min(parent.end_at);
+        }
         Self {
             state,
             route,
@@ -184,7 +188,7 @@
             hop,
             arrived_at,
             objective_at: arrived_at + route.objective,
-            end_at: arrived_at + deadline.min(route.timeout),
+            end_at,
             excluded: Vec::new(),
             attempts: 0,
             refusals: 0,
@@ -212,7 +216,11 @@
             service: &self.hop.service,
             endpoint: &self.route.name,
             priority: RequestPriority::lowest_of(class_of(self.route.urgency)),
-            ample: self.route.objective.mul_f64(AMPLE_PART),
+            ample: self.route.objective.mul_f64(if self.hop.is_nested {
+                NESTED_AMPLE_PART
+            } else {
+                AMPLE_PART
+            }),
             excluded: &self.excluded,
         };
         let decision = {
@@ -288,7 +296,11 @@
     }
 
     fn after_answer(&mut self, answer: Answer) -> NextStep {
-        if !answer.status.is_server_error() || !self.may_repeat() {
+        // A target that ran out of time would do so again.
+        let is_repeatable = answer.status.is_server_error()
+            && answer.status != StatusCode::GATEWAY_TIMEOUT
+            && self.arrived_at.elapsed() < self.route.objective.mul_f64(LATEST_REPEAT_PART);
+        if !is_repeatable || !self.may_repeat() {
             return NextStep::Answer(truthful(answer));
         }
         NextStep::TryAnother
@@ -340,7 +352,7 @@
     }
 
     fn try_retry(&mut self) -> bool {
-        let is_allowed = self.state.try_retry(&self.hop.service);
+        let is_allowed = self.state.try_retry(&self.hop.service, self.hop.urgency);
         self.hop.is_repeat |= is_allowed;
         is_allowed
     }
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -25,6 +25,8 @@
 
 /// Reports that may be missing before the target counts as gone; one may be late by a second.
 const MISSED_REPORTS: u32 = 3;
+/// Stands between the id of a request and the ids of the calls that it makes.
+const ID_SEPARATOR: char = '.';
 /// Failed connections in a row after which the target counts as gone until its next report. A target resets
 /// connections beyond its bound, so one says little.
 const LOST_AFTER_FAILURES: u32 = 2;
@@ -48,16 +50,33 @@
 struct GateState {
     target: AnnouncedTarget,
     queue: SlotQueue,
-    waiting: BTreeMap<WaitKey, oneshot::Sender<Result<(), Duration>>>,
+    waiting: BTreeMap<WaitKey, WaitingRequest>,
     /// Attempts that may not be repeated and have been handed over.
     handed_over: CancelTable,
     cancelled: CancelTable,
     connect_failures: u32,
-    /// Requests at the target that are repeats.
-    repeats: u32,
+    /// Requests at the target by request id.
+    parents: BTreeMap<String, ParentRequest>,
     is_stopping: bool,
 }
 
+/// Request that waits for a slot.
+#[derive(Debug)]
+struct WaitingRequest {
+    grant: oneshot::Sender<Result<(), Duration>>,
+    is_nested: bool,
+}
+
+/// Request that runs at the own target, as far as it concerns the calls that it makes.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ParentRequest {
+    /// Rank of the request that the chain of calls began with.
+    pub(super) urgency: u32,
+    pub(super) is_repeat: bool,
+    /// Time at which nobody waits for the chain any more.
+    pub(super) end_at: Instant,
+}
+
 /// What is known about an attempt that was to be cancelled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CancelVerdict {
@@ -74,7 +93,7 @@
             handed_over: CancelTable::new(),
             cancelled: CancelTable::new(),
             connect_failures: 0,
-            repeats: 0,
+            parents: BTreeMap::new(),
             is_stopping: false,
         };
         Self {
@@ -149,11 +168,12 @@
         (state.queue.running(), state.queue.waiting())
     }
 
-    /// Returns the share of the requests at the target that are repeats. The calls that they cause are repeats too, but
-    /// a call does not name the request that it belongs to.
-    pub(super) fn repeat_share(&self) -> f64 {
+    /// Finds the request that a call of the own target belongs to. Targets extend the id of the request that they serve
+    /// by a dot and an id of the call; a call whose id does not show its parent has none.
+    pub(super) fn parent_of(&self, request_id: &str) -> Option<ParentRequest> {
         let state = lock(&self.shared.state);
-        f64::from(state.repeats) / f64::from(state.queue.running().max(1))
+        let (parent_id, _) = request_id.rsplit_once(ID_SEPARATOR)?;
+        state.parents.get(parent_id).copied()
     }
 
     /// Refuses requests that can no longer start in time; to be called regularly.
@@ -223,17 +243,19 @@
             let (decision, actions) = state.queue.offer(now, slot_request);
             state.perform(now, actions);
             match decision {
-                SlotDecision::Start => {
-                    state.repeats += u32::from(request.is_repeat);
-                    return Ok(SlotGuard::new(Arc::clone(self), request.is_repeat));
-                }
+                SlotDecision::Start => return Ok(SlotGuard::new(Arc::clone(self), request)),
                 SlotDecision::Refuse { wait } => return Err((RefusalReason::QueueFull, wait)),
                 SlotDecision::Wait(key) => {
                     let (sender, grant) = oneshot::channel();
-                    state.waiting.insert(key, sender);
+                    let waiting = WaitingRequest {
+                        grant: sender,
+                        is_nested: request.is_nested,
+                    };
+                    state.waiting.insert(key, waiting);
                     WaitGuard {
                         shared: Arc::clone(self),
                         key: Some(key),
+                        is_nested: request.is_nested,
                         grant,
                     }
                 }
@@ -246,12 +268,9 @@
             Ok(Err(wait)) => return Err((RefusalReason::Displaced, wait)),
             Err(_) => return Err((RefusalReason::Stopping, Duration::ZERO)),
         }
-        let slot = SlotGuard::new(Arc::clone(self), request.is_repeat);
-        let mut state = lock(&self.state);
-        state.repeats += u32::from(request.is_repeat);
-        let checked = state.check(self.oldest_report(), request);
-        drop(state);
-        checked.map(|()| slot)
+        let slot = SlotGuard::new(Arc::clone(self), request);
+        lock(&self.state).check(self.oldest_report(), request)?;
+        Ok(slot)
     }
 
     async fn hand_over(
@@ -287,6 +306,7 @@
             }
         };
         let started = Instant::now();
+        let _parent = RunningParent::new(&self, &request, deadline);
         let exchange = self
             .client
             .exchange(message, &request.request_id, request.is_at_most_once);
@@ -414,11 +434,13 @@
                 SlotAction::Refuse(key, wait) => (key, Err(wait)),
             };
             let is_start = verdict.is_ok();
-            let waiter = self.waiting.remove(&key);
-            let is_heard = waiter.is_some_and(|waiter| waiter.send(verdict).is_ok());
+            let Some(waiting) = self.waiting.remove(&key) else {
+                continue;
+            };
+            let is_heard = waiting.grant.send(verdict).is_ok();
             if is_start && !is_heard {
                 // The request was given up meanwhile; its slot goes to the next one.
-                let actions = self.queue.finish(now, None);
+                let actions = self.queue.finish(now, waiting.is_nested, None);
                 self.perform(now, actions);
             }
         }
@@ -429,15 +451,15 @@
 #[derive(Debug)]
 struct SlotGuard {
     shared: Arc<GateShared>,
-    is_repeat: bool,
+    is_nested: bool,
     service_time: Option<Duration>,
 }
 
 impl SlotGuard {
-    fn new(shared: Arc<GateShared>, is_repeat: bool) -> Self {
+    fn new(shared: Arc<GateShared>, request: &HopRequest) -> Self {
         Self {
             shared,
-            is_repeat,
+            is_nested: request.is_nested,
             service_time: None,
         }
     }
@@ -447,10 +469,7 @@
     fn drop(&mut self) {
         let now = self.shared.now();
         let mut state = lock(&self.shared.state);
-        if self.is_repeat {
-            state.repeats -= 1;
-        }
-        let actions = state.queue.finish(now, self.service_time);
+        let actions = state.queue.finish(now, self.is_nested, self.service_time);
         state.perform(now, actions);
     }
 }
@@ -460,6 +479,7 @@
 struct WaitGuard {
     shared: Arc<GateShared>,
     key: Option<WaitKey>,
+    is_nested: bool,
     grant: oneshot::Receiver<Result<(), Duration>>,
 }
 
@@ -473,8 +493,35 @@
         if state.waiting.remove(&key).is_some() {
             state.queue.cancel(key);
         } else if let Ok(Ok(())) = self.grant.try_recv() {
-            let actions = state.queue.finish(now, None);
+            let actions = state.queue.finish(now, self.is_nested, None);
             state.perform(now, actions);
         }
     }
 }
+
+/// Lists a request among those that run at the target.
+#[derive(Debug)]
+struct RunningParent<'a> {
+    shared: &'a GateShared,
+    id: String,
+}
+
+impl<'a> RunningParent<'a> {
+    fn new(shared: &'a GateShared, request: &HopRequest, end_at: Instant) -> Self {
+        let id = request.request_id.to_str().unwrap_or_default().to_owned();
+        let parent = ParentRequest {
+            urgency: request.urgency,
+            is_repeat: request.is_repeat,
+            end_at,
+        };
+        lock(&shared.state).parents.insert(id.clone(), parent);
+        Self { shared, id }
+    }
+}
+
+impl Drop for RunningParent<'_> {
+    fn drop(&mut self) {
+        let mut state = lock(&self.shared.state);
+        state.parents.remove(&self.id);
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -32,7 +32,10 @@
 /// The same for another region.
 const REGION_SURCHARGE: Duration = Duration::from_millis(70);
 /// Share of the permitted retries that nodes spend: retries below the services that are called count there as well.
-const BUDGET_PART: f64 = 0.5;
+const BUDGET_PART: f64 = 0.8;
+/// Parts of the budget that requests of the second and of lower ranks may use.
+const SECOND_BUDGET_PART: f64 = 0.8;
+const LAST_BUDGET_PART: f64 = 0.4;
 
 /// State of a running gateway.
 #[derive(Debug)]
@@ -147,9 +150,16 @@
     }
 
     /// Counts a retry if the share of this node in the budget of all nodes allows it.
-    pub(super) fn try_retry(&self, service: &ServiceName) -> bool {
+    ///
+    /// Less urgent requests may use only a part of the budget, so that it is not spent when an urgent one needs it.
+    pub(super) fn try_retry(&self, service: &ServiceName, urgency: u32) -> bool {
         let now = self.now();
-        self.with_budget(service, |budget| budget.try_retry(now))
+        let part = match urgency {
+            0 => 1.0,
+            1 => SECOND_BUDGET_PART,
+            _ => LAST_BUDGET_PART,
+        };
+        self.with_budget(service, |budget| budget.try_retry_within(now, part))
     }
 
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
@@ -176,11 +186,6 @@
         }
     }
 
-    /// Returns true with the given probability.
-    pub(super) fn draw(&self, probability: f64) -> bool {
-        probability > 0.0 && lock(&self.rng).random_bool(probability.min(1.0))
-    }
-
     pub(super) fn jitter(&self, mean: Duration) -> Duration {
         mean.mul_f64(lock(&self.rng).random_range(0.75..1.25))
     }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -37,6 +37,10 @@
 const METRIC_PREFIX: &str = "ebonyjunction.node";
 // The first request of a caller at a node waits this long for a share of the caller's rate.
 const SHARE_WAIT: Duration = Duration::from_millis(500);
+/// Bounds how often a waiting request looks for a token.
+const LEAST_TOKEN_WAIT: Duration = Duration::from_millis(5);
+/// A lease has a rate of at least one token a second.
+const LEASE_TOKEN_WAIT: Duration = Duration::from_millis(1_100);
 const MAX_SHARE_WAITERS: usize = 64;
 
 /// Locks a part of the state; a panic of another task leaves the part usable.
@@ -191,32 +195,63 @@
         caller: &CallerEntry,
         plan: &PlanEntry,
     ) -> Result<(), Duration> {
-        let granted = self.rate_granted.notified();
-        tokio::pin!(granted);
-        granted.as_mut().enable();
-        let wait = match self.try_token(caller, plan) {
-            Ok(()) => return Ok(()),
-            Err(wait) => wait,
+        let Err(wait) = self.try_token(caller, plan) else {
+            return Ok(());
         };
-        self.early_beat.notify_one();
         let held_rate = lock(&self.shares).held_rate(self.now(), &caller.name);
         if plan.rate_per_s.is_some_and(|rate| held_rate >= rate) {
             return Err(wait);
         }
         // A small lease says nothing about the rest of the caller's rate: the next token of the lease is awaited.
         let bound = if held_rate > 0 {
-            wait.min(SHARE_WAIT)
+            LEASE_TOKEN_WAIT
         } else {
             SHARE_WAIT
         };
         let waiters = self.rate_waiters.fetch_add(1, Ordering::Relaxed);
-        let waiter = ShareWaiter(&self.rate_waiters);
-        if waiters >= MAX_SHARE_WAITERS {
+        let _waiter = ShareWaiter(&self.rate_waiters);
+        // Those that wait already get the tokens that are due within the bound.
+        let is_crowded =
+            held_rate > 0 && waiters as f64 >= f64::from(held_rate) * bound.as_secs_f64();
+        if waiters >= MAX_SHARE_WAITERS || is_crowded {
             return Err(wait);
         }
-        let _ = timeout(bound, granted).await;
-        drop(waiter);
-        lock(&self.shares).take_again(self.now(), caller, plan)
+        self.await_token(caller, plan, wait, Instant::now() + bound)
+            .await
+    }
+
+    /// Tries again at each heartbeat and when the next token is due. Most heartbeats bring nothing for this caller, so
+    /// one of them does not end the wait.
+    async fn await_token(
+        &self,
+        caller: &CallerEntry,
+        plan: &PlanEntry,
+        mut wait: Duration,
+        mut until: Instant,
+    ) -> Result<(), Duration> {
+        let held_rate = || lock(&self.shares).held_rate(self.now(), &caller.name);
+        let mut has_lease = held_rate() > 0;
+        loop {
+            let granted = self.rate_granted.notified();
+            tokio::pin!(granted);
+            granted.as_mut().enable();
+            self.early_beat.notify_one();
+            let next_try = until.min(Instant::now() + wait.max(LEAST_TOKEN_WAIT));
+            // Both ends of the wait lead to the next try.
+            let _ = timeout_at(next_try.into(), granted).await;
+            let Err(next_wait) = lock(&self.shares).take_again(self.now(), caller, plan) else {
+                return Ok(());
+            };
+            if !has_lease && held_rate() > 0 {
+                // A new lease begins without a token.
+                has_lease = true;
+                until = Instant::now() + LEASE_TOKEN_WAIT;
+            }
+            if Instant::now() >= until {
+                return Err(next_wait);
+            }
+            wait = next_wait;
+        }
     }
 
     fn try_token(&self, caller: &CallerEntry, plan: &PlanEntry) -> Result<(), Duration> {
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -53,6 +53,11 @@
 
     /// Counts a retry and returns true if it stays within the budget.
     pub fn try_retry(&mut self, now: TickTime) -> bool {
+        self.try_retry_within(now, 1.0)
+    }
+
+    /// Counts a retry and returns true if it stays within a part of the budget.
+    pub fn try_retry_within(&mut self, now: TickTime, part: f64) -> bool {
         self.expire(now);
         let first: u64 = self
             .buckets
@@ -66,7 +71,7 @@
             .sum();
         let minimum = self.settings.min_retries_per_s * self.settings.window.as_secs_f64();
         let allowed = self.settings.retry_ratio * first as f64 + minimum;
-        if (retries + 1) as f64 > allowed {
+        if (retries + 1) as f64 > allowed * part {
             return false;
         }
         let bucket = self.current_bucket(now);
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -42,7 +42,10 @@
             Self::Answered => Some(true),
             Self::Failed
             | Self::Refused(
-                RefusalReason::TargetDown | RefusalReason::PlanStale | RefusalReason::BadMeshToken,
+                RefusalReason::TargetDown
+                | RefusalReason::TargetRefused
+                | RefusalReason::PlanStale
+                | RefusalReason::BadMeshToken,
             ) => Some(false),
             Self::Refused(_) => None,
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -114,6 +114,19 @@
     assert_eq!(verdicts, ["200 ran", "200 ran", "429 not-run plan-rate"]);
 }
 
+// Guards against a caller far below its rate that is refused because its node holds a small lease, whose next token is up
+// to a second away and whose heartbeats bring none.
+#[tokio::test]
+async fn entry_awaits_token_of_small_lease() {
+    let mesh = Mesh::start("", &[]).await;
+    mesh.registry.state().lease_per_s = 1;
+    let clerk = ("authorization", "Bearer clerk");
+    for _ in 0..4 {
+        let answer = get(mesh.entry.entry, "/orders/a", &[clerk]).await;
+        assert_eq!(answer.verdict(), "200 ran");
+    }
+}
+
 // Guards against work that runs twice under one key, and against a resend that loses the first answer.
 #[tokio::test]
 async fn payment_runs_once() {
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -30,7 +30,7 @@
         );
     }
     for _ in 0..50 {
-        queue.finish(at(0), Some(SERVICE_TIME));
+        queue.finish(at(0), false, Some(SERVICE_TIME));
         queue.offer(at(0), request(0, 2, 1_000));
     }
     queue
@@ -50,11 +50,11 @@
     let read = wait(&mut queue, request(0, 2, 1_000));
     let payment = wait(&mut queue, request(0, 0, 1_000));
     assert_eq!(
-        queue.finish(at(10), Some(SERVICE_TIME)),
+        queue.finish(at(10), false, Some(SERVICE_TIME)),
         [SlotAction::Start(payment)]
     );
     assert_eq!(
-        queue.finish(at(20), Some(SERVICE_TIME)),
+        queue.finish(at(20), false, Some(SERVICE_TIME)),
         [SlotAction::Start(read)]
     );
 }
@@ -70,7 +70,7 @@
         ..request(0, 5, 300)
     };
     let call = wait(&mut queue, nested);
-    assert_eq!(queue.finish(at(10), None), [SlotAction::Start(call)]);
+    assert_eq!(queue.finish(at(10), false, None), [SlotAction::Start(call)]);
 }
 
 // Slow target: guards against work that waits although it cannot start within its objective.
@@ -132,7 +132,7 @@
     let next = wait(&mut queue, request(0, 2, 1_000));
     assert!(queue.cancel(left));
     assert!(!queue.cancel(left));
-    assert_eq!(queue.finish(at(10), None), [SlotAction::Start(next)]);
+    assert_eq!(queue.finish(at(10), false, None), [SlotAction::Start(next)]);
 }
 
 // Drain: guards against waiting requests that start after the target said that it leaves.
@@ -142,5 +142,30 @@
     wait(&mut queue, request(0, 0, 1_000));
     wait(&mut queue, request(0, 2, 1_000));
     assert_eq!(queue.refuse_all().len(), 2);
-    assert!(queue.finish(at(10), None).is_empty());
+    assert!(queue.finish(at(10), false, None).is_empty());
+}
+
+// Cold start and slow target: guards against quick calls of running requests that wait behind slots full of long
+// requests.
+#[test]
+fn offer_reserves_for_nested() {
+    let mut queue = SlotQueue::new(4);
+    let nested = SlotRequest {
+        is_nested: true,
+        ..request(0, 2, 1_000)
+    };
+    assert_eq!(queue.offer(at(0), nested).0, SlotDecision::Start);
+    queue.finish(at(1), true, Some(SERVICE_TIME));
+    for _ in 0..3 {
+        let (decision, _) = queue.offer(at(2), request(2, 0, 1_000));
+        assert_eq!(decision, SlotDecision::Start);
+    }
+    let (decision, _) = queue.offer(at(2), request(2, 0, 1_000));
+    assert!(matches!(decision, SlotDecision::Wait(_)), "{decision:?}");
+    // The call takes the free slot although another request waits.
+    let (decision, _) = queue.offer(at(3), nested);
+    assert_eq!(decision, SlotDecision::Start);
+    // Without such calls for a while all slots are used.
+    assert_eq!(queue.finish(at(4), true, None).len(), 0);
+    assert_eq!(queue.start_waiting(at(5_000)).len(), 1);
 }
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -16,6 +16,11 @@
 name = "small"
 rate_per_s = 1
 
+[[plan]]
+name = "desk"
+rate_per_s = 8
+burst = 16
+
 [[plan]]
 name = "orders"
 rate_per_s = 0
@@ -30,12 +35,24 @@
 plan = "small"
 credential_sha256 = "84983c60f7daadc1cb8698621f802c0d9f9a3c3c295c810748fb048115c186ec"
 
+[[caller]]
+name = "clerk"
+plan = "desk"
+credential_sha256 = "c40dc72b0228e5850d8b173ff861a48acfb4a15b37b2849cbb6584bbadbc7907"
+
 [[caller]]
 name = "svc-orders"
 plan = "orders"
 service = "orders"
 "#;
 pub const GRANTS: &str = r#"
+[[grant]]
+plan = "desk"
+service = "orders"
+path_prefix = "/"
+class = "read"
+deadline_ms = 5000
+
 [[grant]]
 plan = "open"
 service = "orders"
--- a/tests/support/registry.rs
+++ b/tests/support/registry.rs
@@ -35,6 +35,8 @@
     pub claim_mode: ClaimMode,
     /// Tokens handed out once to the first demand of a caller.
     pub deposit: u32,
+    /// Rate per second of the lease that each caller gets with each heartbeat; 0 for none.
+    pub lease_per_s: u32,
     paid: BTreeSet<String>,
     pub claims: BTreeMap<ClaimScope, ClaimHolder>,
     pub released: BTreeSet<Vec<u8>>,
@@ -126,6 +128,14 @@
         });
         let mut shares = Vec::new();
         for demand in request.demands {
+            if state.lease_per_s > 0 {
+                shares.push(RateShare {
+                    caller: demand.caller.clone(),
+                    rate_per_s: state.lease_per_s,
+                    burst: 1,
+                    valid_ms: 3_000,
+                });
+            }
             if state.deposit > 0
                 && demand.offered_per_s > 0
                 && state.paid.insert(demand.caller.clone())
