Keep slots for nested calls by their load; bound repeats of requests that ran

Cause: long requests of a service that is also called deep in chains held its slots, so chains missed their timeouts and came back.

--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -16,8 +16,12 @@
 const SERVICE_TIME_GAIN: f64 = 0.1;
 /// Service time assumed before the first answer; it only has to lie in the range of common requests.
 const FIRST_SERVICE_TIME: Duration = Duration::from_millis(100);
-/// Part of the slots that only calls of running requests may use.
-const NESTED_PART: f64 = 0.25;
+/// Largest part of the slots that only calls of running requests may use.
+const MAX_NESTED_PART: f64 = 0.7;
+/// Slots kept for such calls, relative to the slots that they use or wait for on average; arrivals come in clumps.
+const NESTED_HEADROOM: f64 = 3.0;
+/// Weight of one arrival in that average.
+const NESTED_GAIN: f64 = 0.05;
 /// Time after the last such call for which the slots are kept.
 const NESTED_MEMORY: Duration = Duration::from_secs(2);
 /// Waiting requests for each slot; more would wait for longer than any objective.
@@ -84,6 +88,8 @@
     running: u32,
     running_nested: u32,
     nested_seen_at: Option<TickTime>,
+    /// Average number of calls of running requests that run or wait.
+    nested_load: f64,
     entries: SlotMap<WaitKey, WaitEntry>,
     waiting: BTreeMap<WaitRank, WaitKey>,
     sequence: u64,
@@ -98,6 +104,7 @@
             running: 0,
             running_nested: 0,
             nested_seen_at: None,
+            nested_load: 0.0,
             entries: SlotMap::with_key(),
             waiting: BTreeMap::new(),
             sequence: 0,
@@ -140,7 +147,7 @@
             return (SlotDecision::Refuse { wait }, actions);
         }
         if request.is_nested {
-            self.nested_seen_at = Some(now);
+            self.note_nested(now);
         }
         let is_first = match self.waiting.first_key_value() {
             Some((first, _)) => request.is_nested && first.is_outer,
@@ -243,10 +250,19 @@
         if is_nested || !is_shared {
             return true;
         }
-        let reserved = (f64::from(self.slots) * NESTED_PART) as u32;
+        let wanted = (self.nested_load * NESTED_HEADROOM).ceil();
+        let reserved = wanted.min(f64::from(self.slots) * MAX_NESTED_PART) as u32;
         self.running - self.running_nested < self.slots - reserved
     }
 
+    fn note_nested(&mut self, now: TickTime) {
+        self.nested_seen_at = Some(now);
+        let is_nested = |rank: &&WaitRank| !rank.is_outer;
+        let waiting = self.waiting.keys().take_while(is_nested).count() as f64;
+        let load = f64::from(self.running_nested) + waiting + 1.0;
+        self.nested_load += NESTED_GAIN * (load - self.nested_load);
+    }
+
     fn occupy(&mut self, is_nested: bool) {
         self.running += 1;
         self.running_nested += u32::from(is_nested);
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -16,7 +16,7 @@
 use super::answer::{Answer, HopResult};
 use super::framing::FramedRequest;
 use super::hop::{HopRequest, strip_connection_headers};
-use super::state::{ActiveGuard, GatewayState, lock};
+use super::state::{ActiveGuard, GatewayState, RetryCause, lock};
 
 /// Targets that may refuse a request before its client is told to come back; each costs a round trip.
 const MAX_REFUSALS: u32 = 4;
@@ -313,7 +313,7 @@
             RefusalReason::TargetRefused | RefusalReason::TargetReplaced
         );
         // A request that reached a target counts in the budget of retries even if the target refused it.
-        let may_go_on = !has_arrived || self.try_retry();
+        let may_go_on = !has_arrived || self.try_retry(RetryCause::Refused);
         if self.refusals >= MAX_REFUSALS || !may_go_on {
             return NextStep::Answer(self.give_up(reason, wait));
         }
@@ -348,11 +348,13 @@
         !self.hop.is_at_most_once
             && self.attempts < self.route.attempts
             && Instant::now() < self.end_at
-            && self.try_retry()
+            && self.try_retry(RetryCause::MayHaveRun)
     }
 
-    fn try_retry(&mut self) -> bool {
-        let is_allowed = self.state.try_retry(&self.hop.service, self.hop.urgency);
+    fn try_retry(&mut self, cause: RetryCause) -> bool {
+        let is_allowed = self
+            .state
+            .try_retry(&self.hop.service, self.hop.urgency, cause);
         self.hop.is_repeat |= is_allowed;
         is_allowed
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -32,11 +32,23 @@
 /// The same for another region.
 const REGION_SURCHARGE: Duration = Duration::from_millis(70);
 /// Share of the permitted retries that nodes spend: retries below the services that are called count there as well.
-const BUDGET_PART: f64 = 0.8;
+const BUDGET_PART: f64 = 0.6;
+/// Part of the budget that repeats of requests that ran may use. They repeat their calls too, which counts at the services
+/// that are called and cannot be refused there.
+const RERUN_PART: f64 = 0.4;
 /// Parts of the budget that requests of the second and of lower ranks may use.
 const SECOND_BUDGET_PART: f64 = 0.8;
 const LAST_BUDGET_PART: f64 = 0.4;
 
+/// Why a request is sent to another target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RetryCause {
+    /// The target refused it without running it.
+    Refused,
+    /// The target ran it and failed, or may have run it.
+    MayHaveRun,
+}
+
 /// State of a running gateway.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -152,13 +164,17 @@
     /// Counts a retry if the share of this node in the budget of all nodes allows it.
     ///
     /// Less urgent requests may use only a part of the budget, so that it is not spent when an urgent one needs it.
-    pub(super) fn try_retry(&self, service: &ServiceName, urgency: u32) -> bool {
+    pub(super) fn try_retry(&self, service: &ServiceName, urgency: u32, cause: RetryCause) -> bool {
         let now = self.now();
-        let part = match urgency {
+        let by_urgency = match urgency {
             0 => 1.0,
             1 => SECOND_BUDGET_PART,
             _ => LAST_BUDGET_PART,
         };
+        let part = match cause {
+            RetryCause::Refused => by_urgency,
+            RetryCause::MayHaveRun => by_urgency * RERUN_PART,
+        };
         self.with_budget(service, |budget| budget.try_retry_within(now, part))
     }
 
