Let only the run of a node that got an attempt prove that it has not run

Cause: a lost hop of at-most-once work is settled by asking the node beside the target. A node that was killed and started again since knows nothing of the attempt and would have called it not run, so a payment could have run twice. Ruled out: a reconnect that delivers a late copy (its bytes are lost with the former process). Test: sidecar_runs_payment_once_over_kill guards the outcome; the former code was not seen failing it, since the new process must listen within the 400 ms of the question.

--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -326,7 +326,10 @@
         }
         if self.hop.is_at_most_once && !is_own {
             let attempt_id = self.hop.attempt_id;
-            let is_unrun = self.state.peers.cancel(choice.address, attempt_id).await;
+            let peers = &self.state.peers;
+            let is_unrun = peers
+                .cancel(choice.address, choice.node_id, attempt_id)
+                .await;
             log::info!(
                 "event=cancelled request_id={} peer={} not_run={is_unrun}",
                 self.id,
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -18,7 +18,7 @@
 
 use crate::config::MeshToken;
 use crate::control_client::MESH_TOKEN_KEY;
-use crate::types::{AttemptId, RefusalReason};
+use crate::types::{AttemptId, NodeId, RefusalReason};
 
 use super::answer::HopResult;
 use super::hop::{HopRequest, decode_result};
@@ -32,7 +32,7 @@
 const WINDOW_BYTES: u32 = 1024 * 1024;
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(400);
-/// Path under which a node is asked to forbid an attempt.
+/// Path under which a run of a node is asked to forbid an attempt: `NODE_ID/ATTEMPT_ID` follows.
 pub(super) const CANCEL_PATH: &str = "/ebonyjunction/v1/attempts/";
 
 #[derive(Debug, Clone)]
@@ -80,10 +80,18 @@
         self.exchange(link, message).await
     }
 
-    /// Asks a node to forbid an attempt whose outcome is open; returns whether it is proven that it has not run.
-    pub(super) async fn cancel(&self, address: SocketAddr, attempt_id: AttemptId) -> bool {
+    /// Asks a node to forbid an attempt whose outcome is open; returns whether it is proven that it has not run. Only the
+    /// run of the node that the attempt was sent to can tell: one that has started since knows nothing of it.
+    pub(super) async fn cancel(
+        &self,
+        address: SocketAddr,
+        node_id: NodeId,
+        attempt_id: AttemptId,
+    ) -> bool {
+        let node = Uuid::from_bytes(*node_id.as_bytes());
         let attempt = Uuid::from_bytes(*attempt_id.as_bytes());
-        let uri = format!("http://{address}{CANCEL_PATH}{}", attempt.simple());
+        let (node, attempt) = (node.simple(), attempt.simple());
+        let uri = format!("http://{address}{CANCEL_PATH}{node}/{attempt}");
         let mut message = Request::new(Full::default());
         *message.method_mut() = Method::DELETE;
         let Ok(uri) = uri.parse() else {
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 
 use crate::control_client::MESH_TOKEN_KEY;
-use crate::types::{AttemptId, RefusalReason};
+use crate::types::{AttemptId, NodeId, RefusalReason};
 
 use super::answer::HopResult;
 use super::gate::CancelVerdict;
@@ -88,15 +88,26 @@
     if request.method() == Method::DELETE
         && let Some(attempt) = request.uri().path().strip_prefix(CANCEL_PATH)
     {
-        let Ok(attempt_id) = AttemptId::try_from(attempt) else {
+        let Some((node_id, attempt_id)) = parse_cancel(attempt) else {
             return Ok(status(StatusCode::BAD_REQUEST));
         };
-        return Ok(encode_result(cancel(&state, attempt_id)));
+        return Ok(encode_result(cancel(&state, node_id, attempt_id)));
     }
     Ok(run(&state, request).await)
 }
 
-fn cancel(state: &GatewayState, attempt_id: AttemptId) -> HopResult {
+fn parse_cancel(path: &str) -> Option<(NodeId, AttemptId)> {
+    let (node, attempt) = path.split_once('/')?;
+    Some((node.try_into().ok()?, attempt.try_into().ok()?))
+}
+
+fn cancel(state: &GatewayState, node_id: NodeId, attempt_id: AttemptId) -> HopResult {
+    if node_id != state.node_id {
+        log::info!("event=cancel_refused reason=other-run node={node_id}");
+        return HopResult::Unknown {
+            detail: "the node has started again".to_owned(),
+        };
+    }
     match state.gate.cancel(attempt_id) {
         CancelVerdict::NotRun => HopResult::NotRun {
             reason: RefusalReason::Cancelled,
