--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,6 +13,7 @@
 mod hop;
 mod http_api;
 mod metrics;
+mod parents;
 mod peer_client;
 mod peer_server;
 mod run;
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -152,7 +152,7 @@
         let EntryRequest { framed, arrived_at } = request;
         let mut headers = framed.headers;
         let deadline = read_deadline(&headers, state).unwrap_or(route.timeout);
-        let parent = state.gate.parent_of(&id);
+        let parent = state.gate.parents().parent_of(&id);
         strip_connection_headers(&mut headers);
         headers.remove(HOST);
         let names = &state.config.names;
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -20,13 +20,12 @@
 use super::answer::HopResult;
 use super::config::{GatewayConfig, HeaderNames};
 use super::hop::HopRequest;
+use super::parents::ParentTable;
 use super::state::lock;
 use super::target_client::{ExchangeFailure, TargetClient};
 
 /// Reports that may be missing before the target counts as gone; one may be late by a second.
 const MISSED_REPORTS: u32 = 3;
-/// Stands between the id of a request and the ids of the calls that it makes.
-const ID_SEPARATOR: char = '.';
 /// Failed connections in a row after which the target counts as gone until its next report. A target resets
 /// connections beyond its bound, so one says little.
 const LOST_AFTER_FAILURES: u32 = 2;
@@ -43,6 +42,7 @@
     names: HeaderNames,
     patience: Duration,
     client: TargetClient,
+    parents: ParentTable,
     state: Mutex<GateState>,
 }
 
@@ -55,8 +55,6 @@
     handed_over: CancelTable,
     cancelled: CancelTable,
     connect_failures: u32,
-    /// Requests at the target by request id.
-    parents: BTreeMap<String, ParentRequest>,
     is_stopping: bool,
 }
 
@@ -67,16 +65,6 @@
     is_nested: bool,
 }
 
-/// Request that runs at the own target, as far as it concerns the calls that it makes.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ParentRequest {
-    /// Rank of the request that the chain of calls began with.
-    pub(super) urgency: u32,
-    pub(super) is_repeat: bool,
-    /// Time at which nobody waits for the chain any more.
-    pub(super) end_at: Instant,
-}
-
 /// What is known about an attempt that was to be cancelled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CancelVerdict {
@@ -93,7 +81,6 @@
             handed_over: CancelTable::new(),
             cancelled: CancelTable::new(),
             connect_failures: 0,
-            parents: BTreeMap::new(),
             is_stopping: false,
         };
         Self {
@@ -102,6 +89,7 @@
                 names: config.names.clone(),
                 patience: config.report_interval * MISSED_REPORTS,
                 client: TargetClient::new(config.target_address, config.names.clone()),
+                parents: ParentTable::default(),
                 state: Mutex::new(state),
             }),
         }
@@ -168,12 +156,9 @@
         (state.queue.running(), state.queue.waiting())
     }
 
-    /// Finds the request that a call of the own target belongs to. Targets extend the id of the request that they serve
-    /// by a dot and an id of the call; a call whose id does not show its parent has none.
-    pub(super) fn parent_of(&self, request_id: &str) -> Option<ParentRequest> {
-        let state = lock(&self.shared.state);
-        let (parent_id, _) = request_id.rsplit_once(ID_SEPARATOR)?;
-        state.parents.get(parent_id).copied()
+    /// Returns the requests that run at the target.
+    pub(super) fn parents(&self) -> &ParentTable {
+        &self.shared.parents
     }
 
     /// Refuses requests that can no longer start in time; to be called regularly.
@@ -306,7 +291,7 @@
             }
         };
         let started = Instant::now();
-        let _parent = RunningParent::new(&self, &request, deadline);
+        let _parent = self.parents.list(&request, deadline);
         let exchange = self
             .client
             .exchange(message, &request.request_id, request.is_at_most_once);
@@ -498,30 +483,3 @@
         }
     }
 }
-
-/// Lists a request among those that run at the target.
-#[derive(Debug)]
-struct RunningParent<'a> {
-    shared: &'a GateShared,
-    id: String,
-}
-
-impl<'a> RunningParent<'a> {
-    fn new(shared: &'a GateShared, request: &HopRequest, end_at: Instant) -> Self {
-        let id = request.request_id.to_str().unwrap_or_default().to_owned();
-        let parent = ParentRequest {
-            urgency: request.urgency,
-            is_repeat: request.is_repeat,
-            end_at,
-        };
-        lock(&shared.state).parents.insert(id.clone(), parent);
-        Self { shared, id }
-    }
-}
-
-impl Drop for RunningParent<'_> {
-    fn drop(&mut self) {
-        let mut state = lock(&self.shared.state);
-        state.parents.remove(&self.id);
-    }
-}
--- /dev/null
+++ b/src/gateway/parents.rs
@@ -0,0 +1,61 @@
+//! Requests that run at the own target, so that the calls that they make can be told from requests of clients.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use super::hop::HopRequest;
+use super::state::lock;
+
+/// Stands between the id of a request and the ids of the calls that it makes.
+const ID_SEPARATOR: char = '.';
+
+/// Request that runs at the own target, as far as it concerns the calls that it makes.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ParentRequest {
+    /// Rank of the request that the chain of calls began with.
+    pub(super) urgency: u32,
+    pub(super) is_repeat: bool,
+    /// Time at which nobody waits for the chain any more.
+    pub(super) end_at: Instant,
+}
+
+/// Requests that run at the own target, by request id.
+#[derive(Debug, Default)]
+pub(super) struct ParentTable {
+    running: Mutex<BTreeMap<String, ParentRequest>>,
+}
+
+impl ParentTable {
+    /// Lists a request until the result is dropped.
+    pub(super) fn list(&self, request: &HopRequest, end_at: Instant) -> RunningParent<'_> {
+        let id = request.request_id.to_str().unwrap_or_default().to_owned();
+        let parent = ParentRequest {
+            urgency: request.urgency,
+            is_repeat: request.is_repeat,
+            end_at,
+        };
+        lock(&self.running).insert(id.clone(), parent);
+        RunningParent { table: self, id }
+    }
+
+    /// Finds the request that a call of the own target belongs to. Targets extend the id of the request that they serve
+    /// by a dot and an id of the call; a call whose id does not show its parent has none.
+    pub(super) fn parent_of(&self, request_id: &str) -> Option<ParentRequest> {
+        let (parent_id, _) = request_id.rsplit_once(ID_SEPARATOR)?;
+        lock(&self.running).get(parent_id).copied()
+    }
+}
+
+/// Place of a request in the table.
+#[derive(Debug)]
+pub(super) struct RunningParent<'a> {
+    table: &'a ParentTable,
+    id: String,
+}
+
+impl Drop for RunningParent<'_> {
+    fn drop(&mut self) {
+        lock(&self.table.running).remove(&self.id);
+    }
+}
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -8,6 +8,7 @@
 mod record;
 mod settings;
 mod table;
+mod typical;
 
 use slotmap::new_key_type;
 
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -12,18 +12,13 @@
 use super::estimate::{AttemptSample, TargetEstimate};
 use super::health::{HealthEvent, HealthMachine, LoadReport, SendResult, State, new_machine};
 use super::levels::LevelBook;
+use super::typical::TypicalLatencies;
 use super::{DirectoryUpdate, RoutingSettings, TargetKey, TargetRecord, TargetState};
 
-/// Weight of one answer in the latency that is typical of a service.
-const TYPICAL_GAIN: f64 = 0.05;
 /// Typical latencies below this count as this long.
 const LEAST_LATENCY_S: f64 = 0.000_01;
-/// Multiple of the typical latency from which an answer counts as slow.
-const SLOW_FACTOR: f64 = 4.0;
 /// Slow answers in a row after which a target is held back.
 const SLOW_ANSWERS: u8 = 3;
-/// Endpoints of a service whose latencies are kept apart; later ones count as if they had the first latency.
-const MAX_ENDPOINTS: usize = 1_024;
 /// Services remembered as called; only granted services get this far.
 const MAX_CALLED_SERVICES: usize = 1_024;
 
@@ -94,36 +89,6 @@
 /// Smallest part of a latency that counts as the target's.
 const LEAST_TARGET_PART: f64 = 0.25;
 
-/// Latency that is typical of each endpoint of a service, over all its targets.
-///
-/// Endpoints of one service may differ by a factor of fifty. What is measured at a target is kept relative to these, so
-/// that slow requests do not make their target look slow for quick ones.
-#[derive(Debug, Default)]
-pub(super) struct TypicalLatencies {
-    by_endpoint: BTreeMap<String, f64>,
-}
-
-impl TypicalLatencies {
-    /// Returns the typical latency of an endpoint in seconds.
-    pub(super) fn get(&self, endpoint: &str) -> Option<f64> {
-        self.by_endpoint.get(endpoint).copied()
-    }
-
-    fn note(&mut self, endpoint: &str, latency: Duration) {
-        let latency_s = latency.as_secs_f64();
-        if let Some(typical) = self.by_endpoint.get_mut(endpoint) {
-            *typical += TYPICAL_GAIN * (latency_s - *typical);
-        } else if self.by_endpoint.len() < MAX_ENDPOINTS {
-            self.by_endpoint.insert(endpoint.to_owned(), latency_s);
-        }
-    }
-
-    fn is_slow(&self, endpoint: &str, latency: Duration) -> bool {
-        let typical = self.get(endpoint);
-        typical.is_some_and(|typical_s| latency.as_secs_f64() > typical_s * SLOW_FACTOR)
-    }
-}
-
 /// Directory of a node and its measurements; chooses a target for each attempt.
 #[derive(Debug)]
 pub struct TargetTable {
