Take no request on kept connections late in a stop; wait for the vote of a repaired disk in a test

Connections of clients now take no request after 2.6 s, when the node has been asked twice whether it is ready; what was taken before ends within the stop. Ruled out: a longer stop (the platform kills after 6 s). The test took the edit after the loss for the end of the repair; it now waits until the new disk votes, which it also demands, and keeps all other checks.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -35,7 +35,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = state.closing.cancelled() => return,
+            () = state.closing_clients.cancelled() => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -67,6 +67,8 @@
     held: Option<FramedRequest>,
     /// No further request is read.
     is_last: bool,
+    /// The request that has begun to arrive is the last one.
+    ends_after_next: bool,
     quiet_since: Instant,
 }
 
@@ -89,6 +91,7 @@
             pending: VecDeque::new(),
             held: None,
             is_last: false,
+            ends_after_next: false,
             quiet_since: Instant::now(),
         }
     }
@@ -106,7 +109,8 @@
 
     async fn serve(&mut self) -> io::Result<()> {
         loop {
-            if self.is_last && self.pending.is_empty() && self.held.is_none() {
+            // A request that is still held was not passed on; its client sends it again elsewhere.
+            if self.is_last && self.pending.is_empty() {
                 return self.close().await;
             }
             match self.next_event().await? {
@@ -127,10 +131,8 @@
                 }
                 ConnectionEvent::Idle => return self.end_idle().await,
                 ConnectionEvent::Closing => {
-                    if self.pending.is_empty() && !self.framer.is_mid_request() {
-                        return self.close().await;
-                    }
-                    self.is_last = true;
+                    self.ends_after_next = true;
+                    self.is_last |= self.held.is_none() && !self.framer.is_mid_request();
                 }
             }
         }
@@ -140,7 +142,8 @@
         let is_idle = self.pending.is_empty();
         let quiet_until = self.quiet_since + self.quiet_bound();
         let can_read = self.pending.len() < MAX_PIPELINED && self.held.is_none();
-        let closing = self.state.closing.clone();
+        let closing = self.state.closing_clients.clone();
+        let is_closing = self.is_last || self.ends_after_next;
         let buffer = self.framer.buffer_mut();
         buffer.reserve(READ_BYTES);
         let front = self.pending.front_mut();
@@ -163,7 +166,7 @@
                 read.map(ConnectionEvent::Read)
             }
             () = sleep_until(quiet_until.into()), if is_idle => Ok(ConnectionEvent::Idle),
-            () = closing.cancelled(), if !self.is_last => Ok(ConnectionEvent::Closing),
+            () = closing.cancelled(), if !is_closing => Ok(ConnectionEvent::Closing),
         }
     }
 
@@ -222,7 +225,7 @@
         };
         let task = tokio::spawn(async move { serve(&state, request).await });
         self.push(task, is_head, keeps_alive);
-        self.is_last |= !keeps_alive;
+        self.is_last |= !keeps_alive || self.ends_after_next;
     }
 
     fn push(&mut self, task: tokio::task::JoinHandle<Answer>, is_head: bool, keeps_alive: bool) {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,8 +17,9 @@
 use super::state::GatewayState;
 use super::sync::{announce_once, run_sync};
 
-/// Clients are sent to a stopping node until they have asked twice whether it is ready, once a second each.
-const LINGER: Duration = Duration::from_millis(3_200);
+/// Clients are sent to a stopping node until it was asked twice whether it is ready, once a second. Requests that are
+/// taken later could not end before the stop does.
+const LINGER: Duration = Duration::from_millis(2_600);
 /// Kept free at the end of a stop for closing connections.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -81,6 +82,7 @@
         }
         let linger_until = (started + LINGER).min(deadline);
         sleep(linger_until.saturating_duration_since(Instant::now())).await;
+        state.closing_clients.cancel();
         let drained = timeout_at(deadline, wait_for_work(state)).await.is_ok();
         state.closing.cancel();
         state.tasks.close();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -70,6 +70,9 @@
     pub(super) announced: Notify,
     pub(super) is_stopping: AtomicBool,
     pub(super) active: AtomicUsize,
+    /// Cancelled when connections of clients take no further request.
+    pub(super) closing_clients: CancellationToken,
+    /// Cancelled when connections of other nodes end.
     pub(super) closing: CancellationToken,
     pub(super) tasks: TaskTracker,
 }
@@ -105,6 +108,7 @@
             announced: Notify::new(),
             is_stopping: AtomicBool::new(false),
             active: AtomicUsize::new(0),
+            closing_clients: CancellationToken::new(),
             closing: CancellationToken::new(),
             tasks: TaskTracker::new(),
             config,
--- a/tests/mesh/edits.rs
+++ b/tests/mesh/edits.rs
@@ -97,6 +97,14 @@
 }
 
 impl EditedMesh {
+    /// Returns the disk under which a replica votes.
+    async fn voter_disk(&self, replica_id: u64) -> Option<Vec<u8>> {
+        let membership = self.client.status().await.ok()?.membership?;
+        let mut voters = membership.voters.iter();
+        let voter = voters.find(|voter| voter.replica_id == replica_id)?;
+        Some(voter.disk_id.to_vec())
+    }
+
     pub(crate) fn start() -> Self {
         let proxies: Vec<FaultProxy> = (0..3).map(|_| FaultProxy::start()).collect();
         let advertise = |listen: &[SocketAddr]| {
@@ -200,6 +208,8 @@
         mesh.edit().await;
     }
     mesh.check_in_force("edits before the losses").await;
+    let lost_disk = mesh.voter_disk(1).await;
+    assert!(lost_disk.is_some(), "the disk votes before it is wiped");
     let control = &mut mesh.fleet.control;
     control.kill_replica(0);
     control.kill_replica(2);
@@ -214,6 +224,12 @@
     mesh.fleet.control.start_replica(2);
     mesh.edit().await;
     mesh.check_in_force("edit after the repair").await;
+    // The repair is over when the new disk votes; an edit does not wait for that.
+    poll("the vote of the new disk", async || {
+        let disk = mesh.voter_disk(1).await?;
+        (Some(disk) != lost_disk).then_some(())
+    })
+    .await;
     mesh.fleet.control.kill_replica(2);
     mesh.edit().await;
     mesh.check_in_force("edit after another loss").await;
