Drop idle connections to a target after one broke under a request

After a crash the pool of the node still held an idle connection whose end its task had not seen; the next request was written to it. Ruled out: the first request's connection (its outcome is unknown by right), and the listener, which the kernel closes before the connections.

--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -21,7 +21,7 @@
 use crate::directory::HeldDirectory;
 use crate::error::{MeshError, Result};
 use crate::plans::{CallerEntry, PlanBook, PlanEntry};
-use crate::proxy::{AttemptTable, EntryMemory, MeshClient, new_client};
+use crate::proxy::{AttemptTable, EntryMemory, MeshClient, TargetConnections, new_client};
 use crate::retry::{CancelTable, RetryBudget, RetryPolicy, RetrySettings};
 use crate::routing::{RoutingSettings, TargetTable};
 use crate::shares::ShareBucket;
@@ -62,7 +62,9 @@
     pub(crate) node_id: NodeId,
     pub(crate) mesh_address: SocketAddr,
     pub(crate) mesh_token: HeaderValue,
+    /// Connections to other nodes.
     pub(crate) client: MeshClient,
+    pub(crate) target_connections: TargetConnections,
     pub(crate) control: ControlClient,
     pub(crate) decisions: DecisionLog,
     metrics: Option<StatsdClient>,
@@ -115,6 +117,7 @@
             mesh_address,
             mesh_token,
             client: new_client(),
+            target_connections: TargetConnections::new(),
             control: ControlClient::new(config.control.clone(), config.mesh_token.clone()),
             decisions: DecisionLog::new(),
             metrics,
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -21,7 +21,7 @@
 pub use answer::{AnswerReport, HopAnswer, Refusal};
 pub(crate) use attempts::AttemptTable;
 pub use body::ProxyBody;
-pub(crate) use client::{MeshClient, new_client};
+pub(crate) use client::{MeshClient, TargetConnections, new_client};
 pub(crate) use entry_memory::EntryMemory;
 pub use headers::{
     CallPlace, decode_context, decode_report, encode_context, encode_report, strip_headers,
--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error;
 use std::net::SocketAddr;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use http::{Request, Response, Uri};
@@ -11,6 +12,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use crate::error::{MeshError, Result};
+use crate::node::lock;
 
 use super::body::ProxyBody;
 
@@ -23,6 +25,31 @@
 /// Client for nodes and for the own target.
 pub(crate) type MeshClient = Client<HttpConnector, ProxyBody>;
 
+/// Connections to the own target. All idle ones are dropped after one broke under a request: if the process has crashed,
+/// the others are dead too, and a request written to one of them would end with an unknown outcome.
+#[derive(Debug)]
+pub(crate) struct TargetConnections {
+    client: Mutex<MeshClient>,
+}
+
+impl TargetConnections {
+    pub(crate) fn new() -> Self {
+        Self {
+            client: Mutex::new(new_client()),
+        }
+    }
+
+    /// Returns a client that shares the idle connections.
+    pub(crate) fn client(&self) -> MeshClient {
+        lock(&self.client).clone()
+    }
+
+    /// Drops the idle connections; requests in flight keep theirs.
+    pub(crate) fn drop_idle(&self) {
+        *lock(&self.client) = new_client();
+    }
+}
+
 /// Failure to get an answer.
 #[derive(Debug)]
 pub(crate) struct SendFailure {
--- a/src/proxy/hand_over.rs
+++ b/src/proxy/hand_over.rs
@@ -243,8 +243,9 @@
     let method = attempt.call.method.clone();
     let (request, epoch) = target_request(attempt, time_left)?;
     attempt.ticket.set_result(WorkResult::Failure);
+    let client = state.target_connections.client();
     let exchange = async {
-        let response: Response<Incoming> = match send(&state.client, request).await {
+        let response: Response<Incoming> = match send(&client, request).await {
             Ok(response) => response,
             Err(failure) if failure.is_unsent => {
                 if failure.is_connect {
@@ -253,6 +254,7 @@
                 return Err(Refusal::not_run(RefusalReason::TargetDown, failure.detail));
             }
             Err(failure) => {
+                state.target_connections.drop_idle();
                 return Err(Refusal::unknown(RefusalReason::AnswerLost, failure.detail));
             }
         };
--- a/tests/node_stop.rs
+++ b/tests/node_stop.rs
@@ -10,6 +10,7 @@
 use http::Method;
 use serde_json::json;
 use sha2::{Digest, Sha256};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use support::http::{behave, call, counts, get, post};
 use support::mesh::{Mesh, RESELLER, mesh_headers, wait_count};
@@ -118,6 +119,56 @@
     assert_eq!(answer.header("ebj-unspent"), "4");
 }
 
+// Guards against a request that is written to an idle connection of a crashed target, which leaves its outcome unknown.
+#[tokio::test]
+async fn idle_connections_end_with_crash() {
+    let mesh = Mesh::start("", &[]).await;
+    let node = NodeProcess::start(mesh.registry.address, "").await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let body = json!({
+        "service": "orders",
+        "address": listener.local_addr().unwrap(),
+        "slots": 4,
+        "connections": 8,
+    });
+    let path = "/ebonyjunction/v1/target";
+    let body = body.to_string().into_bytes();
+    let announced = call(node.local, Method::PUT, path, &[], body).await;
+    assert!(announced.unwrap().status.is_success());
+    mesh.wait_ready(&mesh.entry).await;
+    let send = async || {
+        let attempt = uuid::Uuid::new_v4().to_string();
+        let headers = mesh_headers(&attempt);
+        get(node.mesh, "/orders/a", &headers).await.verdict()
+    };
+    let target = async {
+        let mut idle = read_head(&listener).await;
+        let mut crashed = read_head(&listener).await;
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        idle.write_all(answer).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        crashed.shutdown().await.unwrap();
+        drop((crashed, listener));
+        // The end of this connection is not noticed before the next request is written to it.
+        let mut rest = [0; 1024];
+        let _ = idle.read(&mut rest).await;
+    };
+    tokio::spawn(target);
+    let mut verdicts = <[String; 2]>::from(tokio::join!(send(), send()));
+    verdicts.sort();
+    assert_eq!(verdicts, ["200 ran", "502 unknown answer-lost"]);
+    assert_eq!(send().await, "503 not-run target-down");
+}
+
+async fn read_head(listener: &tokio::net::TcpListener) -> tokio::net::TcpStream {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.unwrap());
+    }
+    stream
+}
+
 // Guards against work under plans that may have been replaced.
 #[tokio::test]
 async fn stale_plans_are_refused() {
