Read changed settings on SIGHUP in every program

Signals and the watch of the settings file are one module now, used by all programs; the platform's own copy is gone. A replica takes other peers over: without a place in the membership it asks these for one. The founding of a log still goes by the settings of the start.

--- a/src/bin/ebonyjunction-node/main.rs
+++ b/src/bin/ebonyjunction-node/main.rs
@@ -23,6 +23,8 @@
   --check          check the settings and exit
   --help           print this text
   --version        print the version
+
+SIGTERM and SIGINT stop the node within stop_timeout_s. SIGHUP, or a change of the file, takes its control replicas over.
 ";
 
 fn main() -> ExitCode {
@@ -52,8 +54,8 @@
     if !unused.is_empty() {
         return Err(MeshError::Usage(format!("unknown arguments: {unused:?}")));
     }
-    let config = NodeConfig::load(&settings)?;
     if is_check {
+        NodeConfig::load(&settings)?;
         println!("{}: settings are valid", settings.display());
         return Ok(());
     }
@@ -63,5 +65,5 @@
         .enable_all()
         .build()
         .map_err(|source| MeshError::io("cannot start the runtime", source))?;
-    runtime.block_on(run_node(config))
+    runtime.block_on(run_node(&settings))
 }
--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -101,6 +101,7 @@
         match event {
             ReplicaEvent::Tick => self.tick(now)?,
             ReplicaEvent::Message { from, message } => self.receive(now, from, message)?,
+            ReplicaEvent::Contacts(contacts) => self.join.configure(contacts),
             ReplicaEvent::Propose { token, command } => self.propose(token, command)?,
             ReplicaEvent::SnapshotReady { meta, data } => self.store_snapshot(meta, data)?,
         }
--- a/src/consensus/join.rs
+++ b/src/consensus/join.rs
@@ -18,6 +18,8 @@
 pub(super) struct JoinState {
     /// Replicas of the settings, by identity.
     initial: BTreeMap<u64, ReplicaInfo>,
+    /// Replicas of settings that have changed since the start.
+    configured: Vec<ReplicaInfo>,
     /// Members named by replicas that hold a log.
     known: Vec<ReplicaInfo>,
     next_request: TickTime,
@@ -37,6 +39,7 @@
                 .into_iter()
                 .map(|info| (info.replica_id, info))
                 .collect(),
+            configured: Vec::new(),
             known: Vec::new(),
             next_request: now,
             asked: BTreeMap::new(),
@@ -46,7 +49,15 @@
     }
 
     pub(super) fn contacts(&self) -> impl Iterator<Item = &ReplicaInfo> {
-        self.known.iter().chain(self.initial.values())
+        let configured = self.configured.iter();
+        self.known
+            .iter()
+            .chain(configured)
+            .chain(self.initial.values())
+    }
+
+    pub(super) fn configure(&mut self, contacts: Vec<ReplicaInfo>) {
+        self.configured = contacts;
     }
 }
 
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -56,6 +56,9 @@
         /// The message.
         message: PeerMessage,
     },
+    /// The settings name these replicas now. They are asked for the membership; a first configuration is still created
+    /// by the replicas of the start.
+    Contacts(Vec<ReplicaInfo>),
     /// A command is to be added to the log.
     Propose {
         /// Name of the proposal in the answer.
--- a/src/control_server.rs
+++ b/src/control_server.rs
@@ -16,4 +16,4 @@
 
 pub use program::run_program;
 pub use route_port::RoutePort;
-pub use server::{RunningReplica, start_replica};
+pub use server::{ContactPort, RunningReplica, start_replica};
--- a/src/control_server/program.rs
+++ b/src/control_server/program.rs
@@ -2,17 +2,17 @@
 
 use std::convert::Infallible;
 use std::ffi::OsString;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use pico_args::Arguments;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::config::ControlConfig;
 use crate::error::{MeshError, Result};
+use crate::signals::{SettingsWatch, StopSignals};
 use crate::telemetry::{metrics_client, start_logging};
 
-use super::server::start_replica;
+use super::server::{ContactPort, start_replica};
 
 const HELP: &str = "\
 One replica of the control plane of ebonyjunction.
@@ -25,7 +25,7 @@
   --help            print this text
   --version         print the version
 
-SIGTERM and SIGINT stop the replica within stop_timeout_s.
+SIGTERM and SIGINT stop the replica within stop_timeout_s. SIGHUP, or a change of the file, takes its peers over.
 Exit codes: 0 stopped as asked, 1 operation failed, 2 bad input.
 ";
 
@@ -83,12 +83,13 @@
             ControlConfig::load(&path)?;
             println!("ok");
         }
-        Action::Run(path) => return run_configured(ControlConfig::load(&path)?),
+        Action::Run(path) => return run_configured(&path),
     }
     Ok(())
 }
 
-fn run_configured(config: ControlConfig) -> Result<()> {
+fn run_configured(settings: &Path) -> Result<()> {
+    let config = ControlConfig::load(settings)?;
     let _guard = start_logging()?;
     // One thread serves the sockets, so that messages of a peer reach the core in the order in which they arrive; the
     // core has a thread of its own.
@@ -98,9 +99,12 @@
         .map_err(|source| MeshError::io("cannot start the runtime", source))?;
     let stop_timeout = config.stop_timeout;
     let result = runtime.block_on(async {
-        let stop = stop_signal()?;
+        let mut stop_signals = StopSignals::new()?;
+        let watch = SettingsWatch::new(settings)?;
         let metrics = metrics_client("ebonyjunction.control", config.metrics_address)?;
-        start_replica(config, metrics).await?.run_until(stop).await
+        let replica = start_replica(config, metrics).await?;
+        tokio::spawn(follow_settings(watch, replica.contacts()));
+        replica.run_until(stop_signals.next()).await
     });
     if let Err(error) = &result {
         log::error!(event = "replica-failed", error:% = error; "");
@@ -109,14 +113,16 @@
     result
 }
 
-fn stop_signal() -> Result<impl Future<Output = ()>> {
-    let failed = |source| MeshError::io("cannot handle signals", source);
-    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
-    Ok(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+/// Takes the peers over from changed settings; the other keys hold until the process ends.
+async fn follow_settings(mut watch: SettingsWatch, contacts: ContactPort) {
+    loop {
+        watch.changed().await;
+        match ControlConfig::load(watch.path()) {
+            Ok(config) => {
+                log::info!(event = "reloaded", peers = config.peers.len(); "");
+                contacts.configure(&config.peers);
+            }
+            Err(error) => log::warn!(event = "reload-failed", error:% = error; ""),
         }
-    })
+    }
 }
--- a/src/control_server/replica.rs
+++ b/src/control_server/replica.rs
@@ -35,6 +35,7 @@
     pub(super) state: ControlState,
     pub(super) clock: TickClock,
     pub(super) peers: PeerTable,
+    pub(super) contacts: watch::Receiver<Vec<ReplicaInfo>>,
     pub(super) view: watch::Sender<LeaderView>,
     pub(super) metrics: Arc<cadence::StatsdClient>,
     pub(super) claim_retention: Duration,
@@ -147,6 +148,10 @@
             return Ok(());
         }
         self.next_tick = now + self.parts.tick_interval;
+        if self.parts.contacts.has_changed().unwrap_or_default() {
+            let contacts = self.parts.contacts.borrow_and_update().clone();
+            self.step(ReplicaEvent::Contacts(contacts))?;
+        }
         self.step(ReplicaEvent::Tick)?;
         if now >= self.next_housekeeping {
             self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
--- a/src/control_server/server.rs
+++ b/src/control_server/server.rs
@@ -16,7 +16,7 @@
 use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Status};
 
-use crate::config::{ControlConfig, MeshToken};
+use crate::config::{ControlConfig, MeshToken, PeerEntry};
 use crate::consensus::{ReplicaCore, ReplicaSettings};
 use crate::control_client::{MAX_MESSAGE_BYTES, MESH_TOKEN_KEY};
 use crate::control_state::ControlState;
@@ -59,6 +59,7 @@
 pub struct RunningReplica {
     service: MeshService,
     inputs: InputSender,
+    contacts: watch::Sender<Vec<ReplicaInfo>>,
     serving: JoinHandle<()>,
     running: JoinHandle<Result<()>>,
     drain: CancellationToken,
@@ -80,10 +81,12 @@
     let (sender, receiver) = sync_channel(QUEUED_INPUTS);
     let inputs = InputSender::new(sender);
     let (view_sender, view) = watch::channel(LeaderView::default());
+    let (contact_sender, contacts) = watch::channel(peer_infos(&config.peers));
     let builder = ThreadBuilder {
         config: config.clone(),
         bound,
         inputs: inputs.clone(),
+        contacts,
         view: view_sender,
         metrics: Arc::new(metrics),
         runtime: Handle::current(),
@@ -101,6 +104,7 @@
     Ok(RunningReplica {
         service,
         inputs,
+        contacts: contact_sender,
         serving: tokio::spawn(serving),
         running: spawn_blocking(move || run_thread(&builder, thread, &receiver)),
         drain,
@@ -108,7 +112,27 @@
     })
 }
 
+/// Replaces the replicas of the settings while a replica runs.
+#[derive(Debug, Clone)]
+pub struct ContactPort {
+    contacts: watch::Sender<Vec<ReplicaInfo>>,
+}
+
+impl ContactPort {
+    /// A replica without a place in the membership asks these replicas for one.
+    pub fn configure(&self, peers: &[PeerEntry]) {
+        self.contacts.send_replace(peer_infos(peers));
+    }
+}
+
 impl RunningReplica {
+    /// Returns access to the replicas that this one knows from its settings.
+    pub fn contacts(&self) -> ContactPort {
+        ContactPort {
+            contacts: self.contacts.clone(),
+        }
+    }
+
     /// Returns access to the routes through this replica.
     pub fn routes(&self) -> RoutePort {
         RoutePort::new(self.service.clone())
@@ -189,6 +213,7 @@
     config: ControlConfig,
     bound: SocketAddr,
     inputs: InputSender,
+    contacts: watch::Receiver<Vec<ReplicaInfo>>,
     view: watch::Sender<LeaderView>,
     metrics: Arc<StatsdClient>,
     runtime: Handle,
@@ -206,11 +231,14 @@
         let seed = uuid::Uuid::new_v4().as_u128() as u64;
         let core = ReplicaCore::new(settings, own, Box::new(store), initial, clock.now(), seed)?;
         let links = LinkTable::new(&config.mesh_token);
+        let mut contacts = self.contacts.clone();
+        contacts.mark_changed();
         Ok(ReplicaThread::new(ReplicaParts {
             core,
             state: ControlState::new(),
             clock,
             peers: PeerTable::new(self.runtime.clone(), links, self.inputs.clone()),
+            contacts,
             view: self.view.clone(),
             metrics: Arc::clone(&self.metrics),
             claim_retention: config.claim_retention,
@@ -248,15 +276,21 @@
 }
 
 fn initial_members(config: &ControlConfig, own: &ReplicaInfo) -> Membership {
-    let peers = config.peers.iter().map(|peer| ReplicaInfo {
+    let mut voters = peer_infos(&config.peers);
+    voters.push(own.clone());
+    Membership {
+        voters,
+        learners: Vec::new(),
+    }
+}
+
+fn peer_infos(peers: &[PeerEntry]) -> Vec<ReplicaInfo> {
+    let infos = peers.iter().map(|peer| ReplicaInfo {
         replica_id: peer.replica_id,
         address: peer.address.to_string(),
         ..ReplicaInfo::default()
     });
-    Membership {
-        voters: peers.chain([own.clone()]).collect(),
-        learners: Vec::new(),
-    }
+    infos.collect()
 }
 
 async fn serve(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod routes;
 pub mod routing;
 pub mod shares;
+pub mod signals;
 pub mod storage;
 pub mod telemetry;
 mod toml_reader;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -1,16 +1,17 @@
 //! Start and graceful stop of a node.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::config::NodeConfig;
 use crate::error::{MeshError, Result};
 use crate::proxy::{ListenerKind, serve_listener};
+use crate::signals::{SettingsWatch, StopSignals};
 
 use super::heartbeat::{run_heartbeats, send_last_heartbeat};
 use super::probe::{run_probes, run_ticks};
@@ -23,9 +24,11 @@
 // Kept free at the end of the stop for closing connections and writing the log.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 
-/// Runs a node until SIGTERM or SIGINT and its graceful stop.
-pub async fn run_node(config: NodeConfig) -> Result<()> {
+/// Runs a node with the settings of a file until SIGTERM or SIGINT and its graceful stop.
+pub async fn run_node(settings: &Path) -> Result<()> {
+    let config = NodeConfig::load(settings)?;
     let mut stop_signals = StopSignals::new()?;
+    let watch = SettingsWatch::new(settings)?;
     let entry = bind(config.entry_address, ListenerKind::Entry).await?;
     let mesh = bind(config.mesh_address, ListenerKind::Mesh).await?;
     let local = bind(config.local_address, ListenerKind::Local).await?;
@@ -38,6 +41,7 @@
     let heartbeats = tokio::spawn(run_heartbeats(Arc::clone(&state)));
     let ticks = tokio::spawn(run_ticks(Arc::clone(&state)));
     let probes = tokio::spawn(run_probes(Arc::clone(&state)));
+    let reloads = tokio::spawn(follow_settings(watch, Arc::clone(&state)));
     for (listener, kind) in [
         (entry, ListenerKind::Entry),
         (mesh, ListenerKind::Mesh),
@@ -45,11 +49,16 @@
     ] {
         tokio::spawn(serve_listener(Arc::clone(&state), listener, kind));
     }
-    stop_signals.first().await;
+    stop_signals.next().await;
     // Further signals are received and ignored, so that they do not end the process early.
-    tokio::spawn(async move { stop_signals.ignore().await });
+    tokio::spawn(async move {
+        loop {
+            stop_signals.next().await;
+            log::info!("event=stop_requested_again");
+        }
+    });
     stop(&state).await;
-    for task in [heartbeats, ticks, probes] {
+    for task in [heartbeats, ticks, probes, reloads] {
         task.abort();
     }
     Ok(())
@@ -105,32 +114,16 @@
     }
 }
 
-#[derive(Debug)]
-struct StopSignals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl StopSignals {
-    fn new() -> Result<Self> {
-        let failed = |source| MeshError::io("cannot receive signals", source);
-        Ok(Self {
-            terminate: signal(SignalKind::terminate()).map_err(failed)?,
-            interrupt: signal(SignalKind::interrupt()).map_err(failed)?,
-        })
-    }
-
-    async fn first(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-
-    async fn ignore(&mut self) {
-        loop {
-            self.first().await;
-            log::info!("event=stop_requested_again");
+/// Takes the addresses of control replicas over from changed settings; the other keys hold until the process ends.
+async fn follow_settings(mut watch: SettingsWatch, state: Arc<NodeState>) {
+    loop {
+        watch.changed().await;
+        match NodeConfig::load(watch.path()) {
+            Ok(config) => {
+                log::info!("event=reloaded control={:?}", config.control);
+                state.control.configure(config.control);
+            }
+            Err(error) => log::warn!("event=reload_failed error={:?}", error.to_string()),
         }
     }
 }
--- /dev/null
+++ b/src/signals.rs
@@ -0,0 +1,93 @@
+//! Signals of the programs: the stop, and the reading of changed settings.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::{Interval, interval};
+
+use crate::error::{MeshError, Result};
+
+/// A settings file may also change without a signal. Reading its time of change costs one system call.
+const SETTINGS_POLL: Duration = Duration::from_secs(2);
+
+/// SIGTERM and SIGINT. Their handlers stay installed until the process ends, so that a further signal does not end it
+/// early.
+#[derive(Debug)]
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers.
+    pub fn new() -> Result<Self> {
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for the next signal.
+    pub async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// Tells when a settings file is to be read again: after SIGHUP, and after its time of change has moved.
+#[derive(Debug)]
+pub struct SettingsWatch {
+    path: PathBuf,
+    hangup: Signal,
+    polls: Interval,
+    seen: Option<SystemTime>,
+}
+
+impl SettingsWatch {
+    /// Installs the handler; to be called within a runtime.
+    pub fn new(path: &Path) -> Result<Self> {
+        Ok(Self {
+            path: path.to_owned(),
+            hangup: listen(SignalKind::hangup())?,
+            polls: interval(SETTINGS_POLL),
+            seen: modified(path),
+        })
+    }
+
+    /// Returns the path of the file.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Waits until the file is to be read again.
+    pub async fn changed(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.hangup.recv() => {
+                    self.seen = modified(&self.path);
+                    return;
+                }
+                _ = self.polls.tick() => {
+                    let current = modified(&self.path);
+                    if current != self.seen {
+                        self.seen = current;
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn listen(kind: SignalKind) -> Result<Signal> {
+    signal(kind).map_err(|source| MeshError::io("cannot receive signals", source))
+}
+
+/// Returns `None` for a file that cannot be read; reading it reports the reason.
+fn modified(path: &Path) -> Option<SystemTime> {
+    let metadata = std::fs::metadata(path);
+    metadata.and_then(|metadata| metadata.modified()).ok()
+}
--- a/tests/node_stop.rs
+++ b/tests/node_stop.rs
@@ -119,6 +119,24 @@
     assert_eq!(answer.header("ebj-unspent"), "4");
 }
 
+// Guards against a node that SIGHUP ends, and against a changed address of the control plane that is not taken over.
+#[tokio::test]
+async fn hangup_takes_control_replicas_over() {
+    let registry =
+        support::registry::FakeRegistry::start(support::mesh::PLANS, support::mesh::GRANTS).await;
+    let nobody = "127.0.0.1:9".parse().unwrap();
+    let node = NodeProcess::start(nobody, "").await;
+    let answer = get(node.entry, "/orders/a", &[RESELLER]).await;
+    assert_eq!(answer.verdict(), "503 not-run plan-stale");
+    node.replace_in_settings("127.0.0.1:9", &registry.address.to_string());
+    node.process.signal("HUP");
+    poll("the plans of the new replica", async || {
+        let answer = get(node.entry, "/orders/a", &[RESELLER]).await;
+        (answer.verdict() != "503 not-run plan-stale").then_some(())
+    })
+    .await;
+}
+
 // Guards against a request that is written to an idle connection of a crashed target, which leaves its outcome unknown.
 #[tokio::test]
 async fn idle_connections_end_with_crash() {
--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -368,3 +368,23 @@
     assert_eq!(voters_after_silence(2), [1, 2]);
     assert_eq!(voters_after_silence(3), [1, 2, 3]);
 }
+
+// Guards against a replica that asks only the replicas of its first settings for a place, when these are gone.
+#[test]
+fn join_asks_configured_contacts() {
+    let store = Box::new(MemoryStore::new([4; 16]));
+    let settings = ReplicaSettings::default();
+    let mut core = ReplicaCore::new(settings, info(4), store, membership(), at(0), 7).unwrap();
+    let contacts = ReplicaEvent::Contacts(vec![info(9)]);
+    core.step(at(1), contacts).unwrap();
+    let actions = core.step(at(10_000), ReplicaEvent::Tick).unwrap();
+    let asked = actions.iter().filter_map(|action| match action {
+        ReplicaAction::Send {
+            to,
+            message: PeerMessage::Join(_),
+        } => Some(to.replica_id),
+        _ => None,
+    });
+    let asked: Vec<u64> = asked.collect();
+    assert!(asked.contains(&9), "{asked:?}");
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -115,7 +115,7 @@
     pub entry: SocketAddr,
     pub mesh: SocketAddr,
     pub local: SocketAddr,
-    _settings: NamedTempFile,
+    settings: NamedTempFile,
 }
 
 impl NodeProcess {
@@ -136,11 +136,19 @@
             mesh: process.listener("mesh").await,
             local: process.listener("local").await,
             process,
-            _settings: settings,
+            settings,
         }
     }
 }
 
+impl NodeProcess {
+    /// Changes the settings file of the running node.
+    pub fn replace_in_settings(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(self.settings.path()).unwrap();
+        std::fs::write(self.settings.path(), text.replace(from, to)).unwrap();
+    }
+}
+
 /// Stand-in target with its address.
 #[derive(Debug)]
 pub struct StandIn {
