--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -32,6 +32,8 @@
     pub client_addresses: Vec<SocketAddr>,
     /// Listener for other nodes.
     pub peer_address: SocketAddr,
+    /// Address under which other nodes reach that listener.
+    pub advertise_address: SocketAddr,
     /// Listener of the metrics page.
     pub metrics_address: Option<SocketAddr>,
     /// Service of the own target.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -115,7 +115,7 @@
         node_id: state.node_id.as_bytes().to_vec().into(),
         zone: state.config.zone.to_string(),
         region: state.config.region.to_string(),
-        mesh_address: state.config.peer_address.to_string(),
+        mesh_address: state.config.advertise_address.to_string(),
         target,
     }
 }
--- a/tests/control/operator.rs
+++ b/tests/control/operator.rs
@@ -10,7 +10,7 @@
 use ebonyjunction::types::{NodeId, RequestId};
 
 use crate::control_cluster::{ControlCluster, TOKEN, poll};
-use crate::fault_proxy::FaultProxy;
+use crate::fault_proxy::{Direction, FaultProxy};
 use crate::heartbeat;
 
 /// One operator with settings, lists and a change folder of their own.
@@ -134,11 +134,11 @@
     proxy.set_target(cluster.replicas[0].direct.unwrap());
     let operator = Operator::new(&cluster, "operator", &[proxy.address]);
     check(&operator.run(&["plans", "show"]).await, 0, "version 0");
-    proxy.set_faults(|faults| faults.holds_answers = true);
+    proxy.set_faults(|faults| faults.held_direction = Some(Direction::Answer));
     check(&operator.plans("apply").await, 1, "is not known");
     assert!(operator.has_pending());
     assert_eq!(cluster.shown().await, (1, 10));
-    proxy.set_faults(|faults| faults.holds_answers = false);
+    proxy.set_faults(|faults| faults.held_direction = None);
     operator.write_lists(30);
     check(
         &operator.plans("apply").await,
--- a/tests/mesh/edits.rs
+++ b/tests/mesh/edits.rs
@@ -15,7 +15,7 @@
     apply_version, control_client, grants_of, leader_position, plans, poll, service,
 };
 use super::load::ClientCall;
-use crate::fault_proxy::{FaultProxy, ProxyFaults};
+use crate::fault_proxy::{Direction, FaultProxy, ProxyFaults};
 use crate::fleet::Fleet;
 
 /// Time in which a change must be in force everywhere, from the design size.
@@ -265,7 +265,7 @@
         }
     });
     let leader = leader_position(&mesh.fleet).await;
-    mesh.proxies[leader].set_faults(|faults| faults.holds_answers = true);
+    mesh.proxies[leader].set_faults(|faults| faults.held_direction = Some(Direction::Answer));
     let racers = futures_util::future::join_all(racers);
     let lost_answers = async {
         tokio::time::sleep(Duration::from_millis(1_500)).await;
--- a/tests/support/fault_proxy.rs
+++ b/tests/support/fault_proxy.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, Weak};
 use std::thread;
 use std::time::Duration;
@@ -16,8 +16,8 @@
 pub struct ProxyFaults {
     /// Nothing passes in either direction.
     pub is_cut: bool,
-    /// Answers do not pass.
-    pub holds_answers: bool,
+    /// Nothing passes in one direction.
+    pub held_direction: Option<Direction>,
     /// New connections are closed at once, present ones too.
     pub is_dropping: bool,
     /// Nothing passes for connections of these processes.
@@ -53,8 +53,9 @@
     }
 }
 
+/// Direction in which data passes.
 #[derive(Debug, Clone, Copy, PartialEq)]
-enum Direction {
+pub enum Direction {
     Request,
     Answer,
 }
@@ -68,7 +69,11 @@
 
 impl FaultProxy {
     pub fn start() -> Self {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        Self::start_at((Ipv4Addr::LOCALHOST, 0).into())
+    }
+
+    pub fn start_at(address: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap();
         let shared = Arc::<SharedState>::default();
         let accepted = Arc::clone(&shared);
@@ -145,7 +150,7 @@
     let mut state = shared.state.lock().unwrap();
     loop {
         let faults = state.faults.clone();
-        let is_held = faults.is_cut || (faults.holds_answers && direction == Direction::Answer);
+        let is_held = faults.is_cut || faults.held_direction == Some(direction);
         if !is_held && faults.cut_processes.is_empty() {
             return faults.delay;
         }
@@ -218,7 +223,13 @@
 
 fn socket_of(ends: [SocketAddr; 2]) -> Option<String> {
     // Connections to different receivers can share the sender's port.
-    let ends = ends.map(|end| format!("0100007F:{:04X}", end.port()));
+    let ends = ends.map(|end| {
+        let IpAddr::V4(ip) = end.ip() else {
+            return String::new();
+        };
+        let ip = u32::from_le_bytes(ip.octets());
+        format!("{ip:08X}:{:04X}", end.port())
+    });
     let sockets = File::open("/proc/net/tcp").ok()?;
     let mut lines = BufReader::new(sockets).lines().map_while(Result::ok);
     lines.find_map(|line| {
