Keep the outcome open when a cancel is lost; spend retries on urgent chains; stay near with large bodies

Traced with the lines attempt, cancelled and the new hand_over: the hop broke after the hand-over, the node was asked whether the attempt had run, and that question itself was not sent because the new connection had ended too. "Not sent" was read as "not run". An exchange now says whether the message was unsent or broken, and only an answer to the question proves anything.

Retries were spread over all chains, bounded to four targets a call, and repeated by every hop above. Now: retries of a rank leave what more urgent ranks are expected to ask for; a call may be turned away 12 times; requests of earlier windows count, as the rule says; a failure that began with a refused call is not repeated further up, nor held against its target.

A body costs 6 ms a kilobyte on the way out of the zone. Reported waits are told apart by kind: calls of running requests pass the others, yet left their zone because long reads waited there. One slot in sixteen stays free, since some targets slow down when nearly full.

Tests of the load patterns: retry, routing, slot_queue.

--- a/examples/routing_policy/choose_cost.rs
+++ b/examples/routing_policy/choose_cost.rs
@@ -59,6 +59,7 @@
     let names = names.collect::<Vec<ServiceName>>();
     let mut rng = SmallRng::seed_from_u64(20_261_204);
     let report = LoadReport {
+        is_nested: false,
         level: Some(RequestPriority::from_raw(50)),
         queue_wait: Some(Duration::ZERO),
         leaving: false,
@@ -72,6 +73,8 @@
             endpoint: "/list",
             priority: RequestPriority::from_raw(100),
             ample: std::time::Duration::ZERO,
+            is_nested: false,
+            body_bytes: 0,
             excluded: &[],
         };
         let before = Instant::now();
--- a/examples/routing_policy/target_faults.rs
+++ b/examples/routing_policy/target_faults.rs
@@ -158,6 +158,8 @@
             endpoint: "/list",
             priority: RequestPriority::from_raw(100),
             ample: std::time::Duration::ZERO,
+            is_nested: false,
+            body_bytes: 0,
             excluded: &[],
         };
         match table.choose(tick(now_us), &request, &mut self.rng) {
--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -12,6 +12,9 @@
     pub struct WaitKey;
 }
 
+/// Part of the slots that stays free. Some targets become slower when they are nearly full; a last slot that slows all
+/// others down costs more than it brings.
+const SPARE_PART: f64 = 0.06;
 /// Weight of one service time in the mean.
 const SERVICE_TIME_GAIN: f64 = 0.1;
 /// Service time assumed before the first answer; it only has to lie in the range of common requests.
@@ -100,7 +103,7 @@
     /// Creates a queue for a target that runs `slots` requests at once.
     pub fn new(slots: u32) -> Self {
         Self {
-            slots,
+            slots: usable_slots(slots),
             running: 0,
             running_nested: 0,
             nested_seen_at: None,
@@ -114,7 +117,7 @@
 
     /// Changes the number of slots; requests above a smaller number finish.
     pub fn set_slots(&mut self, slots: u32) {
-        self.slots = slots;
+        self.slots = usable_slots(slots);
     }
 
     /// Returns the number of requests that hold a slot.
@@ -127,12 +130,23 @@
         self.waiting.len()
     }
 
-    /// Returns the expected wait of a request that would be placed last.
-    pub fn expected_wait(&self) -> Duration {
+    /// Returns the expected wait of a request that would be placed last among its kind. Calls of running requests pass all
+    /// others, so they only wait for each other.
+    pub fn expected_wait(&self, is_nested: bool) -> Duration {
         if self.running < self.slots {
             return Duration::ZERO;
         }
-        self.wait_behind(self.waiting.len())
+        let ahead = if is_nested {
+            self.waiting_nested()
+        } else {
+            self.waiting.len()
+        };
+        self.wait_behind(ahead)
+    }
+
+    fn waiting_nested(&self) -> usize {
+        let ranks = self.waiting.keys();
+        ranks.take_while(|rank| !rank.is_outer).count()
     }
 
     /// Decides about a request. Waiting requests that it displaces are in the actions.
@@ -257,8 +271,7 @@
 
     fn note_nested(&mut self, now: TickTime) {
         self.nested_seen_at = Some(now);
-        let is_nested = |rank: &&WaitRank| !rank.is_outer;
-        let waiting = self.waiting.keys().take_while(is_nested).count() as f64;
+        let waiting = self.waiting_nested() as f64;
         let load = f64::from(self.running_nested) + waiting + 1.0;
         self.nested_load += NESTED_GAIN * (load - self.nested_load);
     }
@@ -273,8 +286,10 @@
     }
 
     fn refuse(&mut self, key: WaitKey) -> SlotAction {
+        let entry = self.entries.get(key);
+        let is_nested = entry.is_some_and(|entry| entry.request.is_nested);
         self.cancel(key);
-        SlotAction::Refuse(key, self.expected_wait())
+        SlotAction::Refuse(key, self.expected_wait(is_nested))
     }
 
     /// Displaces the last waiting request if the queue is full; returns whether there is a place.
@@ -302,3 +317,8 @@
         Duration::from_secs_f64(service_s * (ahead + 1) as f64 / slots)
     }
 }
+
+fn usable_slots(slots: u32) -> u32 {
+    let spare = (f64::from(slots) * SPARE_PART).round() as u32;
+    slots - spare
+}
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -47,6 +47,8 @@
     Ran {
         /// The answer.
         answer: Answer,
+        /// The target failed because one of its calls was turned away.
+        is_downstream_failure: bool,
         /// Expected time until the target has room for another request.
         wait: Duration,
     },
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -18,15 +18,18 @@
 use super::hop::{HopRequest, strip_connection_headers};
 use super::state::{ActiveGuard, GatewayState, RetryCause, lock};
 
-/// Targets that may refuse a request before its client is told to come back; each costs a round trip.
-const MAX_REFUSALS: u32 = 4;
+/// Nodes that may refuse a request before its client is told to come back; each costs a round trip.
+const MAX_REFUSALS: usize = 4;
+/// Targets that may turn a request away themselves. The budget of retries bounds them in sum; with 12 a call that half of
+/// all targets turn away fails once in 4,000 times.
+const MAX_TURNED_AWAY: usize = 12;
 /// Time after which a client may come back where no better one is known: about a heartbeat.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Part of the latency objective within which the nearest target is good enough. The rest covers work that takes longer
 /// than the average, and bytes between zones are billed.
-const AMPLE_PART: f64 = 0.5;
+const AMPLE_PART: f64 = 0.7;
 /// Part for calls of running requests: several of them in a row must fit into their parent's objective.
-const NESTED_AMPLE_PART: f64 = 0.5;
+const NESTED_AMPLE_PART: f64 = 0.7;
 /// Part of the latency objective after which a failed request is not sent again: the repeat would be late, and its work
 /// would be missing elsewhere.
 const LATEST_REPEAT_PART: f64 = 0.4;
@@ -110,6 +113,10 @@
         state.record_inherited(&exchange.hop.service);
     }
     let answer = exchange.run().await;
+    let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+    if exchange.hop.is_nested && (is_refused || exchange.is_downstream_failure) {
+        state.gate.parents().note_refused_call(&exchange.id);
+    }
     exchange.log_answer(&answer);
     answer
 }
@@ -125,8 +132,13 @@
     arrived_at: Instant,
     objective_at: Instant,
     end_at: Instant,
-    /// Targets that have refused the request or may have run it.
+    /// Targets whose node has refused the request, or that may have run it.
     excluded: Vec<TargetKey>,
+    /// Targets that have turned the request away. They are asked again once all others have been.
+    turned_away: Vec<TargetKey>,
+    times_turned_away: usize,
+    /// The last answer failed because a call further down was turned away.
+    is_downstream_failure: bool,
     attempts: u32,
     refusals: u32,
 }
@@ -190,6 +202,9 @@
             objective_at: arrived_at + route.objective,
             end_at,
             excluded: Vec::new(),
+            turned_away: Vec::new(),
+            times_turned_away: 0,
+            is_downstream_failure: false,
             attempts: 0,
             refusals: 0,
         }
@@ -211,7 +226,24 @@
         }
     }
 
-    fn choose(&self) -> Result<RouteChoice, Box<Answer>> {
+    fn choose(&mut self) -> Result<RouteChoice, Box<Answer>> {
+        let excluded = [self.excluded.as_slice(), &self.turned_away].concat();
+        let mut decision = self.decide(&excluded);
+        let is_refused = matches!(decision, RouteDecision::Refuse { .. });
+        if is_refused && !self.turned_away.is_empty() {
+            self.turned_away.clear();
+            decision = self.decide(&self.excluded);
+        }
+        match decision {
+            RouteDecision::Send(choice) => Ok(choice),
+            RouteDecision::Refuse {
+                reason,
+                retry_after,
+            } => Err(Box::new(self.give_up(reason, retry_after))),
+        }
+    }
+
+    fn decide(&self, excluded: &[TargetKey]) -> RouteDecision {
         let request = RouteRequest {
             service: &self.hop.service,
             endpoint: &self.route.name,
@@ -221,24 +253,17 @@
             } else {
                 AMPLE_PART
             }),
-            excluded: &self.excluded,
-        };
-        let decision = {
-            let mut rng = lock(&self.state.rng);
-            let mut table = lock(&self.state.table);
-            let decision = table.choose(self.state.now(), &request, &mut *rng);
-            if let RouteDecision::Send(choice) = &decision {
-                table.start(choice.key);
-            }
-            decision
+            is_nested: self.hop.is_nested,
+            body_bytes: self.hop.body.len(),
+            excluded,
         };
-        match decision {
-            RouteDecision::Send(choice) => Ok(choice),
-            RouteDecision::Refuse {
-                reason,
-                retry_after,
-            } => Err(Box::new(self.give_up(reason, retry_after))),
+        let mut rng = lock(&self.state.rng);
+        let mut table = lock(&self.state.table);
+        let decision = table.choose(self.state.now(), &request, &mut *rng);
+        if let RouteDecision::Send(choice) = &decision {
+            table.start(choice.key);
         }
+        decision
     }
 
     async fn attempt(&mut self, choice: RouteChoice) -> NextStep {
@@ -266,27 +291,48 @@
             self.attempts += 1;
             return NextStep::Answer(self.expired());
         };
-        self.excluded.push(choice.key);
         match result {
-            HopResult::Ran { answer, wait } => {
+            HopResult::Ran {
+                answer,
+                is_downstream_failure,
+                wait,
+            } => {
+                self.excluded.push(choice.key);
+                self.is_downstream_failure = is_downstream_failure;
                 let is_failure = answer.status.is_server_error();
                 let sent = if is_failure {
                     SendResult::Failed
                 } else {
                     SendResult::Answered
                 };
-                in_flight.record(self.route, span, sent, load_report(wait));
+                // A failure that began further down says nothing about the target.
+                if is_downstream_failure {
+                    drop(in_flight);
+                } else {
+                    in_flight.record(
+                        self.route,
+                        span,
+                        sent,
+                        load_report(wait, self.hop.is_nested),
+                    );
+                }
                 self.log_attempt(&choice, "ran", answer.status.as_str(), span);
                 self.attempts += 1;
                 self.after_answer(answer)
             }
             HopResult::NotRun { reason, wait } => {
                 let sent = SendResult::Refused(reason);
-                in_flight.record(self.route, span, sent, load_report(wait));
+                in_flight.record(
+                    self.route,
+                    span,
+                    sent,
+                    load_report(wait, self.hop.is_nested),
+                );
                 self.log_attempt(&choice, "not-run", reason.as_str(), span);
-                self.after_refusal(reason, wait)
+                self.after_refusal(choice.key, reason, wait)
             }
             HopResult::Unknown { detail } => {
+                self.excluded.push(choice.key);
                 in_flight.record(self.route, span, SendResult::Failed, LoadReport::default());
                 self.log_attempt(&choice, "unknown", &detail, span);
                 self.attempts += 1;
@@ -298,6 +344,7 @@
     fn after_answer(&mut self, answer: Answer) -> NextStep {
         // A target that ran out of time would do so again.
         let is_repeatable = answer.status.is_server_error()
+            && !self.is_downstream_failure
             && answer.status != StatusCode::GATEWAY_TIMEOUT
             && self.arrived_at.elapsed() < self.route.objective.mul_f64(LATEST_REPEAT_PART);
         if !is_repeatable || !self.may_repeat() {
@@ -306,18 +353,27 @@
         NextStep::TryAnother
     }
 
-    fn after_refusal(&mut self, reason: RefusalReason, wait: Duration) -> NextStep {
+    fn after_refusal(&mut self, key: TargetKey, reason: RefusalReason, wait: Duration) -> NextStep {
         self.refusals += 1;
-        let has_arrived = matches!(
-            reason,
-            RefusalReason::TargetRefused | RefusalReason::TargetReplaced
-        );
-        // A request that reached a target counts in the budget of retries even if the target refused it.
-        let may_go_on = !has_arrived || self.try_retry(RetryCause::Refused);
-        if self.refusals >= MAX_REFUSALS || !may_go_on {
-            return NextStep::Answer(self.give_up(reason, wait));
+        let may_go_on = match reason {
+            // A request that reached a target counts in the budget of retries even if the target refused it.
+            RefusalReason::TargetRefused | RefusalReason::TargetReplaced => {
+                self.turned_away.push(key);
+                self.times_turned_away += 1;
+                self.times_turned_away < MAX_TURNED_AWAY && self.try_retry(RetryCause::Refused)
+            }
+            _ => {
+                if !self.excluded.contains(&key) {
+                    self.excluded.push(key);
+                }
+                self.excluded.len() < MAX_REFUSALS
+            }
+        };
+        if may_go_on {
+            NextStep::TryAnother
+        } else {
+            NextStep::Answer(self.give_up(reason, wait))
         }
-        NextStep::TryAnother
     }
 
     async fn after_loss(&mut self, choice: &RouteChoice, is_own: bool) -> NextStep {
@@ -337,7 +393,7 @@
             );
             if is_unrun {
                 self.attempts -= 1;
-                return self.after_refusal(RefusalReason::AnswerLost, Duration::ZERO);
+                return self.after_refusal(choice.key, RefusalReason::AnswerLost, Duration::ZERO);
             }
         }
         NextStep::Answer(Answer::own(
@@ -459,9 +515,10 @@
     answer
 }
 
-fn load_report(wait: Duration) -> LoadReport {
+fn load_report(wait: Duration, is_nested: bool) -> LoadReport {
     LoadReport {
         queue_wait: Some(wait),
+        is_nested,
         ..LoadReport::default()
     }
 }
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use crate::admission::{SlotAction, SlotDecision, SlotQueue, SlotRequest, WaitKey};
-use crate::retry::CancelTable;
+use crate::retry::{HandOverRecord, HandOverVerdict};
 use crate::routing::TargetState;
 use crate::types::{AttemptId, RefusalReason, TickTime};
 
@@ -51,9 +51,7 @@
     target: AnnouncedTarget,
     queue: SlotQueue,
     waiting: BTreeMap<WaitKey, WaitingRequest>,
-    /// Attempts that may not be repeated and have been handed over.
-    handed_over: CancelTable,
-    cancelled: CancelTable,
+    hand_overs: HandOverRecord,
     connect_failures: u32,
     is_stopping: bool,
 }
@@ -78,8 +76,7 @@
             target: AnnouncedTarget::default(),
             queue: SlotQueue::new(0),
             waiting: BTreeMap::new(),
-            handed_over: CancelTable::new(),
-            cancelled: CancelTable::new(),
+            hand_overs: HandOverRecord::default(),
             connect_failures: 0,
             is_stopping: false,
         };
@@ -167,19 +164,18 @@
         let mut state = lock(&self.shared.state);
         let actions = state.queue.expire(now);
         state.perform(now, actions);
-        state.cancelled.expire(now);
-        state.handed_over.expire(now);
+        state.hand_overs.expire(now);
     }
 
     /// Forbids an attempt; the answer is final, because a later copy is refused.
     pub(super) fn cancel(&self, attempt_id: AttemptId) -> CancelVerdict {
         let now = self.shared.now();
         let mut state = lock(&self.shared.state);
-        if state.handed_over.is_cancelled(attempt_id) {
-            return CancelVerdict::Unknown;
+        if state.hand_overs.forbid(now, attempt_id) {
+            CancelVerdict::NotRun
+        } else {
+            CancelVerdict::Unknown
         }
-        state.cancelled.cancel(now, attempt_id);
-        CancelVerdict::NotRun
     }
 
     /// Runs a request at the target. Dropping the future gives the request up, unless it may run only once and has been
@@ -265,20 +261,10 @@
         deadline: Instant,
     ) -> HopResult {
         let time_left = deadline.saturating_duration_since(Instant::now());
-        let target_id = {
-            let now = self.now();
-            let mut state = lock(&self.state);
-            let id = state.ready(self.oldest_report()).map(|it| it.id.clone());
-            if id.is_some() && request.is_at_most_once {
-                state.handed_over.cancel(now, request.attempt_id);
-            }
-            id
-        };
-        let Some(target_id) = target_id else {
-            return HopResult::NotRun {
-                reason: RefusalReason::TargetDown,
-                wait: Duration::ZERO,
-            };
+        let begun = lock(&self.state).begin(self.now(), self.oldest_report(), &request);
+        let target_id = match begun {
+            Ok(target_id) => target_id,
+            Err((reason, wait)) => return HopResult::NotRun { reason, wait },
         };
         let message = match self.message(&request, &target_id, time_left) {
             Ok(message) => message,
@@ -290,8 +276,14 @@
                 };
             }
         };
+        log::info!(
+            "event=hand_over request_id={} attempt_id={} target={target_id:?} left_ms={}",
+            request.request_id.to_str().unwrap_or("malformed"),
+            request.attempt_id,
+            time_left.as_millis()
+        );
         let started = Instant::now();
-        let _parent = self.parents.list(&request, deadline);
+        let parent = self.parents.list(&request, deadline);
         let exchange = self
             .client
             .exchange(message, &request.request_id, request.is_at_most_once);
@@ -301,9 +293,15 @@
             };
         };
         let mut result = self.note_outcome(outcome);
-        if let HopResult::Ran { wait, .. } = &mut result {
+        if let HopResult::Ran {
+            answer,
+            is_downstream_failure,
+            wait,
+        } = &mut result
+        {
+            *is_downstream_failure = answer.status.is_server_error() && parent.has_refused_call();
             slot.service_time = Some(started.elapsed());
-            *wait = lock(&self.state).queue.expected_wait();
+            *wait = lock(&self.state).queue.expected_wait(request.is_nested);
         }
         result
     }
@@ -374,13 +372,10 @@
         if self.is_stopping {
             return refuse(RefusalReason::Stopping);
         }
-        if self.cancelled.is_cancelled(request.attempt_id) {
-            return refuse(RefusalReason::Cancelled);
-        }
-        // A copy of an attempt that was handed over must not run again.
-        if request.is_at_most_once && self.handed_over.is_cancelled(request.attempt_id) {
-            return refuse(RefusalReason::DuplicateInFlight);
-        }
+        let verdict = self
+            .hand_overs
+            .check(request.attempt_id, request.is_at_most_once);
+        refuse_unless_allowed(verdict)?;
         let Some(target) = self.ready(oldest) else {
             let is_leaving = self
                 .target
@@ -398,6 +393,22 @@
         Ok(())
     }
 
+    /// Records the hand-over and returns the identity of the target. The request may have been cancelled, or its target
+    /// lost, since it got its slot.
+    fn begin(
+        &mut self,
+        now: TickTime,
+        oldest: TickTime,
+        request: &HopRequest,
+    ) -> Result<String, Refusal> {
+        let Some(id) = self.ready(oldest).map(|target| target.id.clone()) else {
+            return Err((RefusalReason::TargetDown, Duration::ZERO));
+        };
+        let (attempt_id, is_at_most_once) = (request.attempt_id, request.is_at_most_once);
+        refuse_unless_allowed(self.hand_overs.begin(now, attempt_id, is_at_most_once))?;
+        Ok(id)
+    }
+
     /// Adjusts the queue to the target in use.
     fn follow_target(&mut self, now: TickTime) {
         let ready = self.target.current();
@@ -432,6 +443,15 @@
     }
 }
 
+fn refuse_unless_allowed(verdict: HandOverVerdict) -> Result<(), Refusal> {
+    let reason = match verdict {
+        HandOverVerdict::Allowed => return Ok(()),
+        HandOverVerdict::Forbidden => RefusalReason::Cancelled,
+        HandOverVerdict::Copy => RefusalReason::DuplicateInFlight,
+    };
+    Err((reason, Duration::ZERO))
+}
+
 /// Holds a slot until it is dropped.
 #[derive(Debug)]
 struct SlotGuard {
--- a/src/gateway/hop.rs
+++ b/src/gateway/hop.rs
@@ -26,7 +26,9 @@
 const ORIGINAL_HOST: HeaderName = HeaderName::from_static("ebj-host");
 const OUTCOME: HeaderName = HeaderName::from_static("ebj-outcome");
 const REASON: HeaderName = HeaderName::from_static("ebj-reason");
+const CAUSE: HeaderName = HeaderName::from_static("ebj-cause");
 const WAIT_MS: HeaderName = HeaderName::from_static("ebj-wait-ms");
+const DOWNSTREAM_CAUSE: HeaderValue = HeaderValue::from_static("downstream");
 const OWN_PREFIX: &str = "ebj-";
 const FLAG_NESTED: u8 = 1;
 const FLAG_AT_MOST_ONCE: u8 = 2;
@@ -186,13 +188,20 @@
 pub(super) fn encode_result(result: HopResult) -> http::Response<Full<Bytes>> {
     let mut response = http::Response::new(Full::default());
     match result {
-        HopResult::Ran { answer, wait } => {
+        HopResult::Ran {
+            answer,
+            is_downstream_failure,
+            wait,
+        } => {
             *response.status_mut() = answer.status;
             *response.headers_mut() = answer.headers;
             strip_connection_headers(response.headers_mut());
             *response.body_mut() = Full::new(answer.body);
             let headers = response.headers_mut();
             headers.insert(OUTCOME, HeaderValue::from_static("ran"));
+            if is_downstream_failure {
+                headers.insert(CAUSE, DOWNSTREAM_CAUSE);
+            }
             headers.insert(WAIT_MS, HeaderValue::from(wait.as_millis() as u64));
         }
         HopResult::NotRun { reason, wait } => {
@@ -219,6 +228,7 @@
         Some(b"ran") => {
             let mut headers = head.headers;
             let wait_ms = number(&headers, &WAIT_MS).unwrap_or_default();
+            let is_downstream_failure = headers.get(CAUSE) == Some(&DOWNSTREAM_CAUSE);
             strip_connection_headers(&mut headers);
             HopResult::Ran {
                 answer: Answer {
@@ -226,6 +236,7 @@
                     headers,
                     body,
                 },
+                is_downstream_failure,
                 wait: Duration::from_millis(wait_ms),
             }
         }
--- a/src/gateway/parents.rs
+++ b/src/gateway/parents.rs
@@ -18,6 +18,8 @@
     pub(super) is_repeat: bool,
     /// Time at which nobody waits for the chain any more.
     pub(super) end_at: Instant,
+    /// A call of the request was turned away, here or further down the chain.
+    has_refused_call: bool,
 }
 
 /// Requests that run at the own target, by request id.
@@ -34,6 +36,7 @@
             urgency: request.urgency,
             is_repeat: request.is_repeat,
             end_at,
+            has_refused_call: false,
         };
         lock(&self.running).insert(id.clone(), parent);
         RunningParent { table: self, id }
@@ -45,6 +48,16 @@
         let (parent_id, _) = request_id.rsplit_once(ID_SEPARATOR)?;
         lock(&self.running).get(parent_id).copied()
     }
+
+    /// Notes that a call was turned away. If its parent fails, running the parent again would only repeat all its calls.
+    pub(super) fn note_refused_call(&self, request_id: &str) {
+        let Some((parent_id, _)) = request_id.rsplit_once(ID_SEPARATOR) else {
+            return;
+        };
+        if let Some(parent) = lock(&self.running).get_mut(parent_id) {
+            parent.has_refused_call = true;
+        }
+    }
 }
 
 /// Place of a request in the table.
@@ -54,6 +67,16 @@
     id: String,
 }
 
+impl RunningParent<'_> {
+    /// Returns whether a call of the request was turned away.
+    pub(super) fn has_refused_call(&self) -> bool {
+        let running = lock(&self.table.running);
+        running
+            .get(&self.id)
+            .is_some_and(|parent| parent.has_refused_call)
+    }
+}
+
 impl Drop for RunningParent<'_> {
     fn drop(&mut self) {
         lock(&self.table.running).remove(&self.id);
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -41,6 +41,15 @@
     _task: Arc<AbortOnDropHandle<()>>,
 }
 
+/// Failure to get an answer of another node.
+#[derive(Debug)]
+enum ExchangeFailure {
+    /// The connection had ended before any byte of the request was written.
+    Unsent,
+    /// The connection broke; the node may have got the request.
+    Broken(String),
+}
+
 /// Connections by address.
 #[derive(Debug)]
 pub(super) struct PeerClient {
@@ -77,11 +86,16 @@
                 return not_run(RefusalReason::TargetDown);
             }
         };
-        self.exchange(link, message).await
+        match self.exchange(link, message).await {
+            Ok(result) => result,
+            Err(ExchangeFailure::Unsent) => not_run(RefusalReason::TargetDown),
+            Err(ExchangeFailure::Broken(detail)) => HopResult::Unknown { detail },
+        }
     }
 
     /// Asks a node to forbid an attempt whose outcome is open; returns whether it is proven that it has not run. Only the
-    /// run of the node that the attempt was sent to can tell: one that has started since knows nothing of it.
+    /// run of the node that the attempt was sent to can tell: one that has started since knows nothing of it. A question
+    /// that could not be sent proves nothing.
     pub(super) async fn cancel(
         &self,
         address: SocketAddr,
@@ -100,25 +114,29 @@
         *message.uri_mut() = uri;
         let asked = async {
             let link = self.link(address).await.ok()?;
-            Some(self.exchange(link, message).await)
+            self.exchange(link, message).await.ok()
         };
         let result = timeout(CANCEL_TIMEOUT, asked).await;
         matches!(result, Ok(Some(HopResult::NotRun { .. })))
     }
 
-    async fn exchange(&self, mut link: PeerLink, mut message: Request<Full<Bytes>>) -> HopResult {
+    async fn exchange(
+        &self,
+        mut link: PeerLink,
+        mut message: Request<Full<Bytes>>,
+    ) -> Result<HopResult, ExchangeFailure> {
         if let Some(token) = &self.token {
             message.headers_mut().insert(MESH_TOKEN_KEY, token.clone());
         }
         let response = match link.sender.send_request(message).await {
             Ok(response) => response,
-            Err(error) if error.is_canceled() => return not_run(RefusalReason::TargetDown),
-            Err(error) => return unknown(&error),
+            Err(error) if error.is_canceled() => return Err(ExchangeFailure::Unsent),
+            Err(error) => return Err(broken(&error)),
         };
         let (head, body) = response.into_parts();
         match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-            Ok(body) => decode_result(head, body.to_bytes()),
-            Err(error) => unknown(&error),
+            Ok(body) => Ok(decode_result(head, body.to_bytes())),
+            Err(error) => Err(broken(&error)),
         }
     }
 
@@ -173,8 +191,6 @@
     }
 }
 
-fn unknown(error: &dyn std::fmt::Display) -> HopResult {
-    HopResult::Unknown {
-        detail: format!("connection to the node failed: {error}"),
-    }
+fn broken(error: &dyn std::fmt::Display) -> ExchangeFailure {
+    ExchangeFailure::Broken(format!("connection to the node failed: {error}"))
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -31,8 +31,11 @@
 const ZONE_SURCHARGE: Duration = Duration::from_millis(60);
 /// The same for another region.
 const REGION_SURCHARGE: Duration = Duration::from_millis(70);
-/// Share of the permitted retries that nodes spend: retries below the services that are called count there as well.
-const BUDGET_PART: f64 = 0.6;
+/// The same for each kilobyte of a request: a scan of 60 KB stays in its zone unless a target elsewhere is 0.4 s faster.
+const KILOBYTE_SURCHARGE: Duration = Duration::from_millis(6);
+/// Share of the permitted retries that nodes spend. The rest covers calls of repeated requests, and nodes whose busiest
+/// windows lie apart.
+const BUDGET_PART: f64 = 0.8;
 /// Part of the budget that repeats of requests that ran may use. They repeat their calls too, which counts at the services
 /// that are called and cannot be refused there.
 const RERUN_PART: f64 = 0.4;
@@ -87,6 +90,7 @@
         let settings = RoutingSettings {
             zone_surcharge: ZONE_SURCHARGE,
             region_surcharge: REGION_SURCHARGE,
+            kilobyte_surcharge: KILOBYTE_SURCHARGE,
             ..RoutingSettings::default()
         };
         let table = TargetTable::new(settings, config.zone.clone(), config.region.clone());
@@ -179,7 +183,9 @@
             RetryCause::Refused => by_urgency,
             RetryCause::MayHaveRun => by_urgency * RERUN_PART,
         };
-        self.with_budget(service, |budget| budget.try_retry_within(now, part))
+        self.with_budget(service, |budget| {
+            budget.try_retry_within(now, urgency, part)
+        })
     }
 
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
@@ -202,6 +208,7 @@
             retry_ratio: self.config.retry_ratio * BUDGET_PART,
             min_retries_per_s: slack / window_s,
             window: self.config.retry_window,
+            counts_earlier_windows: true,
             ..RetrySettings::default()
         }
     }
--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -229,6 +229,7 @@
                 headers,
                 body,
             },
+            is_downstream_failure: false,
             wait: Duration::ZERO,
         }
     }
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -107,6 +107,7 @@
             reason: Some(self.reason),
             unspent,
             load: LoadReport {
+                is_nested: false,
                 level: None,
                 queue_wait: None,
                 leaving: false,
--- a/src/proxy/hand_over.rs
+++ b/src/proxy/hand_over.rs
@@ -383,6 +383,7 @@
     let now = state.now();
     let level = lock(&state.routes).advertised_level(now, endpoint, own_level);
     LoadReport {
+        is_nested: false,
         level: Some(level),
         queue_wait: Some(wait),
         leaving,
@@ -391,6 +392,7 @@
 
 const fn no_load() -> LoadReport {
     LoadReport {
+        is_nested: false,
         level: None,
         queue_wait: None,
         leaving: false,
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -164,6 +164,7 @@
     let level: Option<u16> = number(headers, LEVEL).ok();
     let queue_ms: Option<u64> = number(headers, QUEUE_MS).ok();
     let load = LoadReport {
+        is_nested: false,
         level: level.map(RequestPriority::from_raw),
         queue_wait: queue_ms.map(Duration::from_millis),
         leaving: headers.contains_key(LEAVING),
--- a/src/proxy/hop.rs
+++ b/src/proxy/hop.rs
@@ -89,6 +89,8 @@
         endpoint: &call.context.endpoint,
         priority: call.context.priority,
         ample: Duration::ZERO,
+        is_nested: false,
+        body_bytes: 0,
         excluded: &progress.tried,
     };
     let decision = {
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -3,6 +3,7 @@
 mod allowance;
 mod budget;
 mod cancelled;
+mod hand_over;
 mod policy;
 mod resend;
 mod settings;
@@ -10,6 +11,7 @@
 pub use allowance::AttemptAllowance;
 pub use budget::RetryBudget;
 pub use cancelled::CancelTable;
+pub use hand_over::{HandOverRecord, HandOverVerdict};
 pub use policy::{AttemptReport, RetryDecision, RetryPolicy};
 pub use resend::{ResendDecision, ResendTable};
 pub use settings::RetrySettings;
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -9,12 +9,28 @@
 
 /// Resolution of the window.
 const BUCKET: Duration = Duration::from_millis(200);
+/// Ranks that are told apart; the last one stands for all less urgent ones too.
+const RANKS: usize = 3;
+/// Time from which the demand of more urgent requests is foreseen. A shorter one would take single failures for an
+/// overload, a longer one would notice it after the budget is spent.
+const DEMAND_SPAN: Duration = Duration::from_secs(1);
 
 #[derive(Debug, Clone, Copy)]
 struct CountBucket {
     start: TickTime,
     first: u32,
-    retries: u32,
+    /// Retries that were decided elsewhere.
+    inherited: u32,
+    /// Retries by rank.
+    retries: [u32; RANKS],
+    /// Retries that were asked for, by rank.
+    asked: [u32; RANKS],
+}
+
+impl CountBucket {
+    fn spent(&self) -> u32 {
+        self.inherited + self.retries.iter().sum::<u32>()
+    }
 }
 
 /// Sliding count of first attempts and retries, which bounds the share of retries.
@@ -48,40 +64,90 @@
     /// decided elsewhere.
     pub fn record_inherited(&mut self, now: TickTime) {
         let bucket = self.current_bucket(now);
-        bucket.retries = bucket.retries.saturating_add(1);
+        bucket.inherited = bucket.inherited.saturating_add(1);
     }
 
     /// Counts a retry and returns true if it stays within the budget.
     pub fn try_retry(&mut self, now: TickTime) -> bool {
-        self.try_retry_within(now, 1.0)
+        self.try_retry_within(now, 0, 1.0)
     }
 
-    /// Counts a retry and returns true if it stays within a part of the budget.
-    pub fn try_retry_within(&mut self, now: TickTime, part: f64) -> bool {
+    /// Counts a retry of a request of a rank, 0 being the most urgent, and returns true if it stays within a part of the
+    /// budget and leaves what more urgent requests are expected to ask for. While a target turns requests away, a chain
+    /// of calls only succeeds if each of its calls does; retries spread over all chains would complete none.
+    pub fn try_retry_within(&mut self, now: TickTime, rank: u32, part: f64) -> bool {
         self.expire(now);
-        let first: u64 = self
-            .buckets
-            .iter()
-            .map(|bucket| u64::from(bucket.first))
-            .sum();
-        let retries: u64 = self
-            .buckets
-            .iter()
-            .map(|bucket| u64::from(bucket.retries))
-            .sum();
+        let rank = (rank as usize).min(RANKS - 1);
+        let allowed = self.allowed(now);
+        let is_allowed = f64::from(self.spent(now) + 1) <= allowed * part
+            && self.foreseen(now, rank) + 1.0 <= allowed;
+        let bucket = self.current_bucket(now);
+        bucket.asked[rank] = bucket.asked[rank].saturating_add(1);
+        if is_allowed {
+            bucket.retries[rank] = bucket.retries[rank].saturating_add(1);
+        }
+        is_allowed
+    }
+
+    fn allowed(&self, now: TickTime) -> f64 {
         let minimum = self.settings.min_retries_per_s * self.settings.window.as_secs_f64();
-        let allowed = self.settings.retry_ratio * first as f64 + minimum;
-        if (retries + 1) as f64 > allowed * part {
-            return false;
+        self.settings.retry_ratio * f64::from(self.first_attempts(now)) + minimum
+    }
+
+    fn first_attempts(&self, now: TickTime) -> u32 {
+        let window = self.settings.window;
+        let current = self.first_between(now, Duration::ZERO, window);
+        if !self.settings.counts_earlier_windows {
+            return current;
         }
-        let bucket = self.current_bucket(now);
-        bucket.retries = bucket.retries.saturating_add(1);
-        true
+        let half = self.first_between(now, window / 2, window * 3 / 2);
+        let earlier = self.first_between(now, window, window * 2);
+        current.max(half).max(earlier)
+    }
+
+    /// Counts first attempts of an age between two bounds.
+    fn first_between(&self, now: TickTime, from: Duration, until: Duration) -> u32 {
+        let aged = self.buckets.iter().filter(|bucket| {
+            let age = now - bucket.start;
+            age >= from && age < until
+        });
+        aged.map(|bucket| bucket.first).sum()
+    }
+
+    fn recent(&self, now: TickTime, span: Duration) -> impl Iterator<Item = &CountBucket> {
+        let buckets = self.buckets.iter().rev();
+        buckets.take_while(move |bucket| now - bucket.start < span)
+    }
+
+    fn spent(&self, now: TickTime) -> u32 {
+        self.recent(now, self.settings.window)
+            .map(CountBucket::spent)
+            .sum()
+    }
+
+    /// Returns the retries of a window if more urgent ranks go on asking as they do now.
+    fn foreseen(&self, now: TickTime, rank: usize) -> f64 {
+        let asked = self.recent(now, DEMAND_SPAN);
+        let asked: u32 = asked
+            .map(|bucket| bucket.asked[..rank].iter().sum::<u32>())
+            .sum();
+        let expected =
+            f64::from(asked) * self.settings.window.as_secs_f64() / DEMAND_SPAN.as_secs_f64();
+        let urgent: u32 = self
+            .recent(now, self.settings.window)
+            .map(|bucket| bucket.retries[..rank].iter().sum::<u32>())
+            .sum();
+        f64::from(self.spent(now) - urgent) + expected.max(f64::from(urgent))
     }
 
     fn expire(&mut self, now: TickTime) {
+        let memory = if self.settings.counts_earlier_windows {
+            self.settings.window * 2
+        } else {
+            self.settings.window
+        };
         while let Some(oldest) = self.buckets.front()
-            && now - oldest.start >= self.settings.window
+            && now - oldest.start >= memory
         {
             self.buckets.pop_front();
         }
@@ -97,7 +163,9 @@
             self.buckets.push_back(CountBucket {
                 start: now,
                 first: 0,
-                retries: 0,
+                inherited: 0,
+                retries: [0; RANKS],
+                asked: [0; RANKS],
             });
         }
         let last = self.buckets.len() - 1;
--- a/src/retry/settings.rs
+++ b/src/retry/settings.rs
@@ -21,6 +21,9 @@
     pub min_retries_per_s: f64,
     /// Time over which first attempts and retries are compared.
     pub window: Duration,
+    /// Whether the requests of the window before, or of half a window before, count if there were more of them. Chains that
+    /// break off early make fewer calls just when retries are needed.
+    pub counts_earlier_windows: bool,
     /// Mean time before the first retry; it doubles for each further one.
     pub base_backoff: Duration,
     /// Largest mean time before a retry.
@@ -34,6 +37,7 @@
             retry_ratio: DEFAULT_RETRY_RATIO,
             min_retries_per_s: DEFAULT_MIN_RETRIES_PER_S,
             window: DEFAULT_WINDOW,
+            counts_earlier_windows: false,
             base_backoff: DEFAULT_BASE_BACKOFF,
             max_backoff: DEFAULT_MAX_BACKOFF,
         }
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -37,6 +37,10 @@
     /// Expected completion time up to which a nearer target is preferred to a faster one farther away; zero to prefer
     /// the faster one in any case.
     pub ample: Duration,
+    /// Whether the call belongs to a request that already runs.
+    pub is_nested: bool,
+    /// Size of the body that is sent; bytes between zones are billed.
+    pub body_bytes: usize,
     /// Targets that earlier attempts of this call went to.
     pub excluded: &'a [TargetKey],
 }
@@ -225,7 +229,7 @@
         let typical_s = service.typical.get(request.endpoint);
         let completion = |key: TargetKey| {
             let slot = &self.targets[key];
-            slot.completion(now, typical_s, &self.settings)
+            slot.completion(now, typical_s, request, &self.settings)
         };
         let mut chosen: Option<(TargetKey, CompletionTime)> = None;
         for tier in PathTier::ALL {
@@ -248,15 +252,16 @@
         &self,
         now: TickTime,
         typical_s: Option<f64>,
+        request: &RouteRequest<'_>,
         settings: &RoutingSettings,
     ) -> CompletionTime {
         let half_life = settings.latency_memory;
         let first_s = settings.first_latency.as_secs_f64();
         let scaled_s = self.estimate.service_time(now, half_life, first_s);
         let service_s = scaled_s * typical_s.map_or(1.0, |typical_s| typical_s / first_s);
-        let wait_s = self.estimate.wait(now);
+        let wait_s = self.estimate.wait(now, request.is_nested);
         let in_flight = f64::from(self.in_flight);
-        let path = self.tier.cost(settings) + self.tier.surcharge(settings);
+        let path = self.tier.cost(settings) + self.tier.surcharge(request.body_bytes, settings);
         let path_s = path.as_secs_f64();
         let occupied = in_flight / f64::from(self.slots);
         CompletionTime {
--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -4,6 +4,8 @@
 
 use crate::types::TickTime;
 
+use super::LoadReport;
+
 /// Weight of a new sample above the latency average.
 const RISE_GAIN: f64 = 0.5;
 /// Weight of a new sample below the latency average.
@@ -27,8 +29,15 @@
     latency_s: f64,
     failure: f64,
     measured_at: TickTime,
-    reported_wait_s: f64,
-    reported_at: TickTime,
+    // Calls of running requests wait less than others.
+    nested_wait: ReportedWait,
+    outer_wait: ReportedWait,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct ReportedWait {
+    wait_s: f64,
+    at: TickTime,
 }
 
 /// One ended attempt as the estimate sees it.
@@ -67,11 +76,19 @@
         self.measured_at = now;
     }
 
-    pub(super) fn note_wait(&mut self, now: TickTime, wait: Option<Duration>, scale: f64) {
-        if let Some(wait) = wait {
-            let believed = self.latency_s / scale * MAX_WAIT_FACTOR;
-            self.reported_wait_s = wait.as_secs_f64().min(believed);
-            self.reported_at = now;
+    pub(super) fn note_wait(&mut self, now: TickTime, report: &LoadReport, scale: f64) {
+        let Some(wait) = report.queue_wait else {
+            return;
+        };
+        let believed = self.latency_s / scale * MAX_WAIT_FACTOR;
+        let reported = ReportedWait {
+            wait_s: wait.as_secs_f64().min(believed),
+            at: now,
+        };
+        if report.is_nested {
+            self.nested_wait = reported;
+        } else {
+            self.outer_wait = reported;
         }
     }
 
@@ -97,11 +114,16 @@
     }
 
     /// Returns the reported wait in seconds as far as it is believed.
-    pub(super) fn wait(&self, now: TickTime) -> f64 {
-        if self.reported_wait_s == 0.0 {
+    pub(super) fn wait(&self, now: TickTime, is_nested: bool) -> f64 {
+        let reported = if is_nested {
+            self.nested_wait
+        } else {
+            self.outer_wait
+        };
+        if reported.wait_s == 0.0 {
             return 0.0;
         }
-        self.reported_wait_s * decay(now - self.reported_at, WAIT_HALF_LIFE)
+        reported.wait_s * decay(now - reported.at, WAIT_HALF_LIFE)
     }
 }
 
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -20,6 +20,8 @@
     pub level: Option<RequestPriority>,
     /// Expected wait for a slot.
     pub queue_wait: Option<Duration>,
+    /// Whether the wait is that of calls of running requests.
+    pub is_nested: bool,
     /// Whether the target is leaving.
     pub leaving: bool,
 }
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -60,6 +60,8 @@
     pub zone_surcharge: Duration,
     /// The same for a call to another region.
     pub region_surcharge: Duration,
+    /// Time that a target in another zone must save in addition for each kilobyte of the request.
+    pub kilobyte_surcharge: Duration,
     /// Failures in a row after which a target is ejected.
     pub eject_after_failures: u32,
     /// Attempts from which the ratio of failures is judged.
@@ -93,6 +95,7 @@
             region_cost: DEFAULT_REGION_COST,
             zone_surcharge: Duration::ZERO,
             region_surcharge: Duration::ZERO,
+            kilobyte_surcharge: Duration::ZERO,
             eject_after_failures: DEFAULT_EJECT_AFTER_FAILURES,
             eject_min_attempts: DEFAULT_EJECT_MIN_ATTEMPTS,
             eject_for: DEFAULT_EJECT_FOR,
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -33,6 +33,8 @@
     OtherRegion,
 }
 
+const KILOBYTE: f64 = 1_024.0;
+
 impl PathTier {
     /// All distances, nearest first.
     pub(super) const ALL: [Self; 3] = [Self::SameZone, Self::SameRegion, Self::OtherRegion];
@@ -45,12 +47,14 @@
         }
     }
 
-    pub(super) const fn surcharge(self, settings: &RoutingSettings) -> Duration {
-        match self {
-            Self::SameZone => Duration::ZERO,
+    pub(super) fn surcharge(self, body_bytes: usize, settings: &RoutingSettings) -> Duration {
+        let by_distance = match self {
+            Self::SameZone => return Duration::ZERO,
             Self::SameRegion => settings.zone_surcharge,
             Self::OtherRegion => settings.region_surcharge,
-        }
+        };
+        let kilobytes = body_bytes as f64 / KILOBYTE;
+        by_distance + settings.kilobyte_surcharge.mul_f64(kilobytes)
     }
 
     /// Returns the part of a latency that the target took. The way may take less than its cost, so a part of the
@@ -291,7 +295,7 @@
         let typical_s = service.typical.get(endpoint);
         let typical_s = typical_s.unwrap_or(own_latency.as_secs_f64());
         let scale = first_s / typical_s.max(LEAST_LATENCY_S);
-        slot.estimate.note_wait(now, report.queue_wait, scale);
+        slot.estimate.note_wait(now, report, scale);
         let Some(is_success) = result.verdict() else {
             return;
         };
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -125,6 +125,7 @@
             reason: reason.map(|position| RefusalReason::ALL[position]),
             unspent,
             load: LoadReport {
+                is_nested: false,
                 level: level.map(RequestPriority::from_raw),
                 queue_wait: wait_ms.map(Duration::from_millis),
                 leaving,
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use ebonyjunction::retry::{
-    AttemptAllowance, AttemptReport, CancelTable, ResendDecision, ResendTable, RetryBudget,
-    RetryDecision, RetryPolicy, RetrySettings,
+    AttemptAllowance, AttemptReport, CancelTable, HandOverRecord, HandOverVerdict, ResendDecision,
+    ResendTable, RetryBudget, RetryDecision, RetryPolicy, RetrySettings,
 };
 use ebonyjunction::types::{
     AttemptId, AttemptOutcome, CallerName, RefusalReason, RequestId, TickTime,
@@ -304,3 +304,98 @@
     table.expire(at(60_000));
     assert!(!table.is_cancelled(id));
 }
+
+// Guards against a payment that runs twice: its sender was told "not run" after it had got its slot, and it was handed
+// over then all the same.
+#[test]
+fn begin_after_forbid() {
+    let id = AttemptId::from_uuid(uuid::Uuid::from_u128(7));
+    let mut record = HandOverRecord::default();
+    let now = TickTime::from_millis(5);
+    assert_eq!(record.check(id, true), HandOverVerdict::Allowed);
+    assert!(record.forbid(now, id));
+    assert_eq!(record.begin(now, id, true), HandOverVerdict::Forbidden);
+}
+
+// Guards against "not run" for an attempt that was handed over, and against a copy of it.
+#[test]
+fn forbid_after_begin() {
+    let id = AttemptId::from_uuid(uuid::Uuid::from_u128(8));
+    let mut record = HandOverRecord::default();
+    let now = TickTime::from_millis(5);
+    assert_eq!(record.begin(now, id, true), HandOverVerdict::Allowed);
+    assert!(!record.forbid(now, id));
+    assert_eq!(record.begin(now, id, true), HandOverVerdict::Copy);
+    assert_eq!(record.begin(now, id, false), HandOverVerdict::Allowed);
+}
+
+const DEEP_CALLS: usize = 4;
+const DEEP_WINDOW_S: u64 = 10;
+
+/// Plays ten seconds in which a deep service turns 55% of its calls away. Each request makes four calls one after the
+/// other and fails with the first that is not answered. Returns the served shares of payments and of reads.
+fn serve_through_shedding(rank_of_reads: u32) -> (f64, f64) {
+    let settings = RetrySettings {
+        retry_ratio: 0.2,
+        window: Duration::from_secs(DEEP_WINDOW_S),
+        counts_earlier_windows: true,
+        ..RetrySettings::default()
+    };
+    let mut budget = RetryBudget::new(settings);
+    let mut rng = SmallRng::seed_from_u64(20_261_204);
+    // A calm window before.
+    for millis in 0..DEEP_WINDOW_S * 1_000 {
+        if millis % 10 == 0 {
+            (0..DEEP_CALLS).for_each(|_| budget.record_first(at(millis)));
+        }
+    }
+    let (mut asked, mut served) = ([0; 2], [0; 2]);
+    for tick in 0..DEEP_WINDOW_S * 100 {
+        let now = at(DEEP_WINDOW_S * 1_000 + tick * 10);
+        let is_payment = rng.random_bool(0.3);
+        let rank = if is_payment { 0 } else { rank_of_reads };
+        asked[usize::from(is_payment)] += 1;
+        let is_served = (0..DEEP_CALLS).all(|_| {
+            budget.record_first(now);
+            loop {
+                if rng.random_bool(0.45) {
+                    return true;
+                }
+                if !budget.try_retry_within(now, rank, 1.0) {
+                    return false;
+                }
+            }
+        });
+        served[usize::from(is_payment)] += u32::from(is_served);
+    }
+    let share = |kind: usize| f64::from(served[kind]) / f64::from(asked[kind]);
+    (share(1), share(0))
+}
+
+// Deep service that sheds: guards against retries that are spread over all chains of calls, so that payments break off
+// while reads use the budget up.
+#[test]
+fn try_retry_keeps_budget_for_payments() {
+    let (payments, _) = serve_through_shedding(2);
+    let (unordered, _) = serve_through_shedding(0);
+    assert!(payments > 2.0 * unordered, "{payments} against {unordered}");
+    assert!(payments > 0.5, "{payments}");
+}
+
+// Chains that break off early: guards against a budget that shrinks just when it is needed.
+#[test]
+fn try_retry_counts_earlier_windows() {
+    let settings = RetrySettings {
+        retry_ratio: 0.2,
+        min_retries_per_s: 0.0,
+        window: Duration::from_secs(10),
+        counts_earlier_windows: true,
+        ..RetrySettings::default()
+    };
+    let mut budget = RetryBudget::new(settings);
+    (0..100).for_each(|step| budget.record_first(at(step * 100)));
+    let allowed = (0..50).filter(|_| budget.try_retry(at(14_900)));
+    assert_eq!(allowed.count(), 20);
+    let later = (0..50).filter(|_| budget.try_retry(at(31_000)));
+    assert_eq!(later.count(), 0);
+}
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -55,13 +55,19 @@
     table: TargetTable,
     rng: SmallRng,
     priority: RequestPriority,
+    is_nested: bool,
+    body_bytes: usize,
 }
 
 impl RoutingWorld {
     fn new(records: Vec<TargetRecord>) -> Self {
+        Self::with_settings(records, RoutingSettings::default())
+    }
+
+    fn with_settings(records: Vec<TargetRecord>, settings: RoutingSettings) -> Self {
         let zone = "east-1".try_into().unwrap();
         let region = "east".try_into().unwrap();
-        let mut table = TargetTable::new(RoutingSettings::default(), zone, region);
+        let mut table = TargetTable::new(settings, zone, region);
         table.apply_update(at(0), changed(records));
         Self {
             // After the slow start of the first directory.
@@ -72,6 +78,8 @@
                 PriorityClass::Read,
                 RequestId::try_from([3; 16].as_slice()).unwrap(),
             ),
+            is_nested: false,
+            body_bytes: 0,
         }
     }
 
@@ -89,6 +97,8 @@
             endpoint: "/list",
             priority: self.priority,
             ample: Duration::ZERO,
+            is_nested: self.is_nested,
+            body_bytes: self.body_bytes,
             excluded,
         };
         self.table.choose(self.now, &request, &mut self.rng)
@@ -162,6 +172,57 @@
     assert!(calls[0] + calls[1] > 490, "{calls:?}");
 }
 
+// Bytes between zones are billed: guards against large bodies that leave their zone for a little time.
+#[test]
+fn choose_large_body_near() {
+    let zones = [("east-1", "east"), ("east-2", "east")];
+    let records = (0..2).map(|index| {
+        let (zone, region) = zones[usize::from(index)];
+        record(index, zone, region)
+    });
+    let settings = RoutingSettings {
+        kilobyte_surcharge: Duration::from_millis(6),
+        ..RoutingSettings::default()
+    };
+    let mut world = RoutingWorld::with_settings(records.collect(), settings);
+    world.run_healthy(200);
+    let slow_near = |index| answered(if index == 0 { FAST * 20 } else { FAST });
+    let small = world.run(1_000, slow_near);
+    assert!(small[1] > 900, "{small:?}");
+    world.body_bytes = 60 * 1024;
+    let large = world.run(1_000, slow_near);
+    assert!(large[0] > 900, "{large:?}");
+}
+
+// Call-graph coupling: guards against short calls that leave their zone because long requests wait there, which they
+// would pass.
+#[test]
+fn choose_by_wait_of_kind() {
+    let mut world = RoutingWorld::new(vec![
+        record(0, "east-1", "east"),
+        record(1, "east-2", "east"),
+    ]);
+    world.run_healthy(100);
+    let report = LoadReport {
+        queue_wait: Some(FAST * 4),
+        is_nested: false,
+        ..LoadReport::default()
+    };
+    let busy_near = |index| {
+        let report = if index == 0 {
+            report
+        } else {
+            LoadReport::default()
+        };
+        (FAST, SendResult::Answered, report)
+    };
+    let outer = world.run(300, busy_near);
+    assert!(outer[1] > outer[0], "{outer:?}");
+    world.is_nested = true;
+    let nested = world.run(300, busy_near);
+    assert!(nested[0] > 290, "{nested:?}");
+}
+
 // Guards against a cold target that gets a full share at once.
 #[test]
 fn choose_slow_start() {
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -173,3 +173,27 @@
     actions.extend(queue.start_waiting(at(2_500)));
     assert!(matches!(actions[..], [SlotAction::Start(_)]), "{actions:?}");
 }
+
+// Deep service near its limit: guards against a last slot that slows all others down, and against small targets that
+// lose one.
+#[test]
+fn new_spare_slots() {
+    for (slots, usable) in [(2, 2), (8, 8), (11, 10), (27, 25), (36, 34), (135, 127)] {
+        let mut queue = SlotQueue::new(slots);
+        let mut offers = (0..slots).map(|_| queue.offer(at(0), request(0, 2, 1_000)).0);
+        let started = offers.by_ref().filter(|it| *it == SlotDecision::Start);
+        assert_eq!(started.count(), usable, "{slots} slots");
+    }
+}
+
+// Call-graph coupling: guards against callers that take short calls far away because long requests wait here, which
+// the calls pass.
+#[test]
+fn expected_wait_by_kind() {
+    let mut queue = busy_queue(4);
+    for _ in 0..8 {
+        wait(&mut queue, request(0, 2, 1_000));
+    }
+    assert!(queue.expected_wait(false) >= SERVICE_TIME * 2);
+    assert!(queue.expected_wait(true) <= SERVICE_TIME / 2);
+}
