Refuse what can no longer end in time; tell service times apart by kind; pace retries of reads

A request is refused now once less than 0.6 of the mean service time is left. Waits of calls were computed from a mean over calls of 55 ms and reads of 880 ms. And in the first second of the shedding reads could use a third of the budget of retries before the demand of payments was seen; they may spend a tenth of it a second.

Ruled out: slots too few (stockroom held 60 of 204), routing to one endpoint (arrivals within 1.7 of the mean).

--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -17,6 +17,12 @@
 const SPARE_PART: f64 = 0.06;
 /// Weight of one service time in the mean.
 const SERVICE_TIME_GAIN: f64 = 0.1;
+/// Keeps rates finite when a target answers at once.
+const MIN_SERVICE_TIME_S: f64 = 0.000_1;
+/// Bound on an expected wait, far beyond any objective.
+const MAX_WAIT_S: f64 = 600.0;
+/// Part of the mean service time that must be left before the deadline when a request starts.
+const LEAST_SERVICE_PART: f64 = 0.6;
 /// Service time assumed before the first answer; it only has to lie in the range of common requests.
 const FIRST_SERVICE_TIME: Duration = Duration::from_millis(100);
 /// Largest part of the slots that only calls of running requests may use.
@@ -96,7 +102,34 @@
     entries: SlotMap<WaitKey, WaitEntry>,
     waiting: BTreeMap<WaitRank, WaitKey>,
     sequence: u64,
-    service_time: Option<f64>,
+    nested_time: ServiceTime,
+    outer_time: ServiceTime,
+}
+
+/// Mean time for which requests of a kind hold a slot, in seconds.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServiceTime {
+    mean_s: Option<f64>,
+}
+
+impl ServiceTime {
+    fn add(&mut self, sample: Duration) {
+        let sample_s = sample.as_secs_f64();
+        let mean_s = self.mean_s.get_or_insert(sample_s);
+        *mean_s += SERVICE_TIME_GAIN * (sample_s - *mean_s);
+        *mean_s = mean_s.max(MIN_SERVICE_TIME_S);
+    }
+
+    fn seconds(self) -> f64 {
+        self.mean_s.unwrap_or(FIRST_SERVICE_TIME.as_secs_f64())
+    }
+}
+
+/// Waiting requests of each kind.
+#[derive(Debug, Clone, Copy, Default)]
+struct WaitingCount {
+    nested: usize,
+    outer: usize,
 }
 
 impl SlotQueue {
@@ -111,7 +144,8 @@
             entries: SlotMap::with_key(),
             waiting: BTreeMap::new(),
             sequence: 0,
-            service_time: None,
+            nested_time: ServiceTime::default(),
+            outer_time: ServiceTime::default(),
         }
     }
 
@@ -136,12 +170,13 @@
         if self.running < self.slots {
             return Duration::ZERO;
         }
-        let ahead = if is_nested {
-            self.waiting_nested()
+        let nested = self.waiting_nested();
+        let outer = if is_nested {
+            0
         } else {
-            self.waiting.len()
+            self.waiting.len() - nested
         };
-        self.wait_behind(ahead)
+        self.wait_behind(WaitingCount { nested, outer }, is_nested)
     }
 
     fn waiting_nested(&self) -> usize {
@@ -177,9 +212,16 @@
             urgency: request.urgency,
             sequence: self.sequence,
         };
-        let ahead = self.waiting.range(..rank).count();
-        let wait = self.wait_behind(ahead);
-        if now + wait > Self::latest_start(&request) || !self.make_room(rank, &mut actions) {
+        let mut ahead = WaitingCount::default();
+        for (rank, _) in self.waiting.range(..rank) {
+            if rank.is_outer {
+                ahead.outer += 1;
+            } else {
+                ahead.nested += 1;
+            }
+        }
+        let wait = self.wait_behind(ahead, request.is_nested);
+        if now + wait > self.latest_start(&request) || !self.make_room(rank, &mut actions) {
             return (SlotDecision::Refuse { wait }, actions);
         }
         let key = self.entries.insert(WaitEntry { request, rank });
@@ -200,9 +242,11 @@
             self.running_nested = self.running_nested.saturating_sub(1);
         }
         if let Some(sample) = service_time {
-            let sample_s = sample.as_secs_f64();
-            let mean = self.service_time.get_or_insert(sample_s);
-            *mean += SERVICE_TIME_GAIN * (sample_s - *mean);
+            if is_nested {
+                self.nested_time.add(sample);
+            } else {
+                self.outer_time.add(sample);
+            }
         }
         self.start_waiting(now)
     }
@@ -218,7 +262,7 @@
 
     /// Refuses requests that can no longer start in time.
     pub fn expire(&mut self, now: TickTime) -> Vec<SlotAction> {
-        let is_late = |entry: &WaitEntry| now > Self::latest_start(&entry.request);
+        let is_late = |entry: &WaitEntry| now > self.latest_start(&entry.request);
         let late = self.entries.iter().filter(|(_, entry)| is_late(entry));
         let keys: Vec<WaitKey> = late.map(|(key, _)| key).collect();
         keys.into_iter().map(|key| self.refuse(key)).collect()
@@ -281,8 +325,18 @@
         self.running_nested += u32::from(is_nested);
     }
 
-    fn latest_start(request: &SlotRequest) -> TickTime {
-        request.objective.min(request.deadline)
+    /// Returns the time after which a request would be late, or would be given up before it ends. The second bound uses a
+    /// part of the mean, because many requests take less.
+    fn latest_start(&self, request: &SlotRequest) -> TickTime {
+        let mean_s = if request.is_nested {
+            self.nested_time.seconds()
+        } else {
+            self.outer_time.seconds()
+        };
+        let least = Duration::from_secs_f64(mean_s * LEAST_SERVICE_PART);
+        let since_start = request.deadline.since_start().saturating_sub(least);
+        let in_time = TickTime::from_start(since_start);
+        request.objective.min(request.deadline).min(in_time)
     }
 
     fn refuse(&mut self, key: WaitKey) -> SlotAction {
@@ -308,13 +362,20 @@
         }
     }
 
-    /// Returns the expected wait with `ahead` requests to start before.
-    fn wait_behind(&self, ahead: usize) -> Duration {
-        let service_s = self
-            .service_time
-            .unwrap_or(FIRST_SERVICE_TIME.as_secs_f64());
-        let slots = f64::from(self.slots.max(1));
-        Duration::from_secs_f64(service_s * (ahead + 1) as f64 / slots)
+    /// Returns the expected wait of a request with others to start before it.
+    fn wait_behind(&self, ahead: WaitingCount, is_nested: bool) -> Duration {
+        let (nested_s, outer_s) = (self.nested_time.seconds(), self.outer_time.seconds());
+        let wait_s = if is_nested {
+            // Calls of running requests take over every slot that is freed.
+            let running_outer = self.running.saturating_sub(self.running_nested);
+            let freed_per_s =
+                f64::from(self.running_nested) / nested_s + f64::from(running_outer) / outer_s;
+            (ahead.nested + 1) as f64 / freed_per_s.max(f64::EPSILON)
+        } else {
+            let work_s = nested_s * ahead.nested as f64 + outer_s * (ahead.outer + 1) as f64;
+            work_s / f64::from(self.slots.max(1))
+        };
+        Duration::from_secs_f64(wait_s.min(MAX_WAIT_S))
     }
 }
 
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -14,6 +14,9 @@
 /// Time from which the demand of more urgent requests is foreseen. A shorter one would take single failures for an
 /// overload, a longer one would notice it after the budget is spent.
 const DEMAND_SPAN: Duration = Duration::from_secs(1);
+/// Part of the budget that less urgent requests may spend within that time, so that the begin of an overload does not
+/// cost what more urgent ones will need.
+const PACED_PART: f64 = 0.1;
 
 #[derive(Debug, Clone, Copy)]
 struct CountBucket {
@@ -80,7 +83,8 @@
         let rank = (rank as usize).min(RANKS - 1);
         let allowed = self.allowed(now);
         let is_allowed = f64::from(self.spent(now) + 1) <= allowed * part
-            && self.foreseen(now, rank) + 1.0 <= allowed;
+            && self.foreseen(now, rank) + 1.0 <= allowed
+            && self.is_paced(now, rank, allowed);
         let bucket = self.current_bucket(now);
         bucket.asked[rank] = bucket.asked[rank].saturating_add(1);
         if is_allowed {
@@ -140,6 +144,18 @@
         f64::from(self.spent(now) - urgent) + expected.max(f64::from(urgent))
     }
 
+    /// Returns whether a rank and those below it spend slowly enough; the most urgent one need not.
+    fn is_paced(&self, now: TickTime, rank: usize, allowed: f64) -> bool {
+        if rank == 0 {
+            return true;
+        }
+        let spent = self.recent(now, DEMAND_SPAN);
+        let spent: u32 = spent
+            .map(|bucket| bucket.retries[rank..].iter().sum::<u32>())
+            .sum();
+        f64::from(spent) < (allowed * PACED_PART).max(1.0)
+    }
+
     fn expire(&mut self, now: TickTime) {
         let memory = if self.settings.counts_earlier_windows {
             self.settings.window * 2
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -399,3 +399,20 @@
     let later = (0..50).filter(|_| budget.try_retry(at(31_000)));
     assert_eq!(later.count(), 0);
 }
+
+// Deep service that begins to shed: guards against reads that use most of the budget up before payments ask for it.
+#[test]
+fn try_retry_paces_reads() {
+    let settings = RetrySettings {
+        retry_ratio: 0.2,
+        window: Duration::from_secs(10),
+        counts_earlier_windows: true,
+        ..RetrySettings::default()
+    };
+    let mut budget = RetryBudget::new(settings);
+    (0..10_000).for_each(|millis| budget.record_first(at(millis)));
+    let reads = (0..1_000).filter(|_| budget.try_retry_within(at(10_000), 2, 0.4));
+    assert!(reads.count() <= 210);
+    let payments = (0..2_000).filter(|_| budget.try_retry_within(at(10_001), 0, 1.0));
+    assert!(payments.count() >= 1_700);
+}
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -197,3 +197,27 @@
     assert!(queue.expected_wait(false) >= SERVICE_TIME * 2);
     assert!(queue.expected_wait(true) <= SERVICE_TIME / 2);
 }
+
+// Surge: guards against requests that start so late that they are given up before they end, which wastes the slot.
+#[test]
+fn offer_leaves_time_for_work() {
+    let mut queue = busy_queue(1);
+    let short_of_time = SlotRequest {
+        deadline: at(140),
+        ..request(0, 2, 1_000)
+    };
+    assert!(matches!(
+        queue.offer(at(0), short_of_time).0,
+        SlotDecision::Refuse { .. }
+    ));
+    let key = wait(
+        &mut queue,
+        SlotRequest {
+            deadline: at(200),
+            ..request(0, 2, 1_000)
+        },
+    );
+    assert_eq!(queue.expire(at(130)), []);
+    let expired = queue.expire(at(150));
+    assert!(matches!(expired[..], [SlotAction::Refuse(refused, _)] if refused == key));
+}
