--- a/src/gateway/hop.rs
+++ b/src/gateway/hop.rs
@@ -12,6 +12,7 @@
 use uuid::Uuid;
 
 use crate::error::{MeshError, Result};
+use crate::hop_headers::strip_hop_headers;
 use crate::types::{AttemptId, RefusalReason, ServiceName};
 
 use super::answer::{Answer, HopResult};
@@ -29,7 +30,6 @@
 const CAUSE: HeaderName = HeaderName::from_static("ebj-cause");
 const WAIT_MS: HeaderName = HeaderName::from_static("ebj-wait-ms");
 const DOWNSTREAM_CAUSE: HeaderValue = HeaderValue::from_static("downstream");
-const OWN_PREFIX: &str = "ebj-";
 const FLAG_NESTED: u8 = 1;
 const FLAG_AT_MOST_ONCE: u8 = 2;
 const FLAG_REPEAT: u8 = 4;
@@ -73,24 +73,7 @@
 
 /// Removes headers that concern one connection only, and those of the mesh itself.
 pub(super) fn strip_connection_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|words| words.split(','))
-        .filter_map(|word| word.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
-    let own: Vec<HeaderName> = headers
-        .keys()
-        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
-        .cloned()
-        .collect();
-    for name in own {
-        headers.remove(name);
-    }
+    strip_hop_headers(headers, &HOP_BY_HOP);
 }
 
 impl HopRequest {
--- /dev/null
+++ b/src/hop_headers.rs
@@ -0,0 +1,28 @@
+//! Removal of headers that must not pass to the next hop.
+
+use http::header::{CONNECTION, HeaderMap, HeaderName};
+
+/// Prefix of the headers between nodes, which nobody else may set.
+const MESH_PREFIX: &str = "ebj-";
+
+/// Removes the headers that the sender ties to its connection, those of the mesh, and the listed ones.
+pub(crate) fn strip_hop_headers(headers: &mut HeaderMap, listed: &[HeaderName]) {
+    let tied: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|names| names.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .collect();
+    for name in tied.iter().chain(listed) {
+        headers.remove(name);
+    }
+    let of_mesh: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(MESH_PREFIX))
+        .cloned()
+        .collect();
+    for name in of_mesh {
+        headers.remove(name);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod gateway;
 pub mod generated;
+mod hop_headers;
 pub mod node;
 pub mod plans;
 pub mod proxy;
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use http::header::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::error::{MeshError, Result};
+use crate::hop_headers::strip_hop_headers;
 use crate::routing::LoadReport;
 use crate::types::{
     AttemptContext, AttemptId, AttemptOutcome, CallerName, IdempotencyKey, PriorityClass,
@@ -37,23 +38,22 @@
 const QUEUE_MS: &str = "ebj-queue-ms";
 const LEAVING: &str = "ebj-leaving";
 
-const OWN_PREFIX: &str = "ebj-";
 // Headers that describe one connection or one framing, and credentials that are meant for the entry node only.
-const NEVER_FORWARDED: [&str; 14] = [
-    "authorization",
-    "connection",
-    "content-length",
-    "expect",
-    "host",
-    "http2-settings",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
+const NEVER_FORWARDED: [HeaderName; 14] = [
+    HeaderName::from_static("authorization"),
+    HeaderName::from_static("connection"),
+    HeaderName::from_static("content-length"),
+    HeaderName::from_static("expect"),
+    HeaderName::from_static("host"),
+    HeaderName::from_static("http2-settings"),
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-authenticate"),
+    HeaderName::from_static("proxy-authorization"),
+    HeaderName::from_static("proxy-connection"),
+    HeaderName::from_static("te"),
+    HeaderName::from_static("trailer"),
+    HeaderName::from_static("transfer-encoding"),
+    HeaderName::from_static("upgrade"),
 ];
 
 /// Service and first path segment that a call names in its path.
@@ -67,27 +67,7 @@
 
 /// Removes headers of the connection, of the framing, of the mesh, and credentials.
 pub fn strip_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in NEVER_FORWARDED {
-        headers.remove(name);
-    }
-    let own: Vec<HeaderName> = headers
-        .keys()
-        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
-        .cloned()
-        .collect();
-    for name in own {
-        headers.remove(name);
-    }
+    strip_hop_headers(headers, &NEVER_FORWARDED);
 }
 
 /// Writes the context of an attempt into the headers of a request to another node.
