Split the way of a request through attempts, and the state of the gate, into modules of their own

Moves only: entry.rs keeps route, part and counts, exchange.rs holds attempts, repeats and the final answer; gate_state.rs holds what is changed under the gate's lock.

--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,482 @@
+//! One request on its way through attempts at targets: choice, repeats, and the final answer.
+
+use std::time::{Duration, Instant};
+
+use http::header::{HOST, HeaderValue};
+use http::{HeaderMap, StatusCode};
+use tokio::time::timeout_at;
+use uuid::Uuid;
+
+use crate::routes::{RepeatKind, RouteBook, RouteEntry, RouteKey};
+use crate::routing::{LoadReport, RouteChoice, RouteDecision, RouteRequest, SendResult, TargetKey};
+use crate::types::{AttemptId, PriorityClass, RefusalReason, RequestPriority, ServiceName};
+
+use super::answer::{Answer, HopResult};
+use super::entry::EntryRequest;
+use super::hop::{HopRequest, strip_connection_headers};
+use super::state::{GatewayState, RetryCause, lock};
+
+/// Nodes that may refuse a request before its client is told to come back; each costs a round trip.
+const MAX_REFUSALS: usize = 4;
+/// Targets that may turn a request away themselves. The budget of retries bounds them in sum; with 12 a call that half of
+/// all targets turn away fails once in 4,000 times.
+const MAX_TURNED_AWAY: usize = 12;
+/// Time after which a client may come back where no better one is known: about a heartbeat.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Part of the latency objective within which the nearest target is good enough. The rest covers work that takes longer
+/// than the average, and bytes between zones are billed.
+const AMPLE_PART: f64 = 0.7;
+/// Part of the latency objective after which a failed request is not sent again: the repeat would be late, and its work
+/// would be missing elsewhere.
+const LATEST_REPEAT_PART: f64 = 0.4;
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// One request on its way through attempts at targets.
+#[derive(Debug)]
+pub(super) struct Exchange<'a> {
+    state: &'a GatewayState,
+    route: &'a RouteEntry,
+    version: u64,
+    id: String,
+    hop: HopRequest,
+    arrived_at: Instant,
+    objective_at: Instant,
+    end_at: Instant,
+    /// Targets whose node has refused the request, or that may have run it.
+    excluded: Vec<TargetKey>,
+    /// Targets that have turned the request away. They are asked again once all others have been.
+    turned_away: Vec<TargetKey>,
+    times_turned_away: usize,
+    /// The last answer failed because a call further down was turned away.
+    is_downstream_failure: bool,
+    attempts: u32,
+    refusals: u32,
+}
+
+/// What to do after an attempt.
+#[derive(Debug)]
+enum NextStep {
+    Answer(Answer),
+    TryAnother,
+}
+
+impl<'a> Exchange<'a> {
+    pub(super) fn new(
+        state: &'a GatewayState,
+        book: &'a RouteBook,
+        key: RouteKey,
+        request: EntryRequest,
+        request_id: HeaderValue,
+        id: String,
+    ) -> Self {
+        let route = book.route(key);
+        let part = lock(&state.counters).next_part(route);
+        let EntryRequest { framed, arrived_at } = request;
+        let mut headers = framed.headers;
+        let deadline = read_deadline(&headers, state).unwrap_or(route.timeout);
+        let parent = state.gate.parents().parent_of(&id);
+        strip_connection_headers(&mut headers);
+        headers.remove(HOST);
+        let names = &state.config.names;
+        for name in [&names.deadline_ms, &names.caller, &names.expected_target] {
+            headers.remove(name);
+        }
+        let hop = HopRequest {
+            method: framed.method,
+            target: framed.target,
+            host: framed.host,
+            headers,
+            body: framed.body,
+            service: route.parts[part].service.clone(),
+            caller: state.config.service.clone(),
+            request_id,
+            attempt_id: new_attempt_id(),
+            is_nested: parent.is_some(),
+            is_at_most_once: route.repeat_kind == RepeatKind::AtMostOnce,
+            is_repeat: parent.is_some_and(|parent| parent.is_repeat),
+            urgency: parent.map_or(route.urgency, |parent| parent.urgency),
+            objective: route.objective,
+            timeout: route.timeout,
+        };
+        let mut end_at = arrived_at + deadline.min(route.timeout);
+        if let Some(parent) = parent {
+            end_at = end_at.min(parent.end_at);
+        }
+        Self {
+            state,
+            route,
+            version: book.version(),
+            id,
+            hop,
+            arrived_at,
+            objective_at: arrived_at + route.objective,
+            end_at,
+            excluded: Vec::new(),
+            turned_away: Vec::new(),
+            times_turned_away: 0,
+            is_downstream_failure: false,
+            attempts: 0,
+            refusals: 0,
+        }
+    }
+
+    /// Sends the request until there is a final answer.
+    pub(super) async fn run(&mut self) -> Answer {
+        loop {
+            if Instant::now() >= self.end_at {
+                return self.expired();
+            }
+            let choice = match self.choose() {
+                Ok(choice) => choice,
+                Err(answer) => return *answer,
+            };
+            match self.attempt(choice).await {
+                NextStep::Answer(answer) => return answer,
+                NextStep::TryAnother => {}
+            }
+        }
+    }
+
+    fn choose(&mut self) -> Result<RouteChoice, Box<Answer>> {
+        let excluded = [self.excluded.as_slice(), &self.turned_away].concat();
+        let mut decision = self.decide(&excluded);
+        let is_refused = matches!(decision, RouteDecision::Refuse { .. });
+        if is_refused && !self.turned_away.is_empty() {
+            self.turned_away.clear();
+            decision = self.decide(&self.excluded);
+        }
+        match decision {
+            RouteDecision::Send(choice) => Ok(choice),
+            RouteDecision::Refuse {
+                reason,
+                retry_after,
+            } => Err(Box::new(self.give_up(reason, retry_after))),
+        }
+    }
+
+    fn decide(&self, excluded: &[TargetKey]) -> RouteDecision {
+        let request = RouteRequest {
+            service: &self.hop.service,
+            endpoint: &self.route.name,
+            priority: RequestPriority::lowest_of(class_of(self.route.urgency)),
+            ample: self.route.objective.mul_f64(AMPLE_PART),
+            is_nested: self.hop.is_nested,
+            body_bytes: self.hop.body.len(),
+            excluded,
+        };
+        let mut rng = lock(&self.state.rng);
+        let mut table = lock(&self.state.table);
+        let decision = table.choose(self.state.now(), &request, &mut *rng);
+        if let RouteDecision::Send(choice) = &decision {
+            table.start(choice.key);
+        }
+        decision
+    }
+
+    async fn attempt(&mut self, choice: RouteChoice) -> NextStep {
+        let now = Instant::now();
+        self.hop.attempt_id = new_attempt_id();
+        self.hop.timeout = self.end_at.saturating_duration_since(now);
+        self.hop.objective = self.objective_at.saturating_duration_since(now);
+        let in_flight = InFlight {
+            state: self.state,
+            key: Some(choice.key),
+        };
+        let is_own = choice.node_id == self.state.node_id;
+        let sending = async {
+            if is_own {
+                self.state.gate.handle(self.hop.clone()).await
+            } else {
+                self.state.peers.send(choice.address, &self.hop).await
+            }
+        };
+        let result = timeout_at(self.end_at.into(), sending).await;
+        let span = now.elapsed();
+        let Ok(result) = result else {
+            in_flight.record(self.route, span, SendResult::Failed, LoadReport::default());
+            self.log_attempt(&choice, "timeout", "", span);
+            self.attempts += 1;
+            return NextStep::Answer(self.expired());
+        };
+        match result {
+            HopResult::Ran {
+                answer,
+                is_downstream_failure,
+                wait,
+            } => {
+                self.excluded.push(choice.key);
+                self.is_downstream_failure = is_downstream_failure;
+                let is_failure = answer.status.is_server_error();
+                let sent = if is_failure {
+                    SendResult::Failed
+                } else {
+                    SendResult::Answered
+                };
+                // A failure that began further down says nothing about the target.
+                if is_downstream_failure {
+                    drop(in_flight);
+                } else {
+                    in_flight.record(
+                        self.route,
+                        span,
+                        sent,
+                        load_report(wait, self.hop.is_nested),
+                    );
+                }
+                self.log_attempt(&choice, "ran", answer.status.as_str(), span);
+                self.attempts += 1;
+                self.after_answer(answer)
+            }
+            HopResult::NotRun { reason, wait } => {
+                let sent = SendResult::Refused(reason);
+                in_flight.record(
+                    self.route,
+                    span,
+                    sent,
+                    load_report(wait, self.hop.is_nested),
+                );
+                self.log_attempt(&choice, "not-run", reason.as_str(), span);
+                self.after_refusal(choice.key, reason, wait)
+            }
+            HopResult::Unknown { detail } => {
+                self.excluded.push(choice.key);
+                in_flight.record(self.route, span, SendResult::Failed, LoadReport::default());
+                self.log_attempt(&choice, "unknown", &detail, span);
+                self.attempts += 1;
+                self.after_loss(&choice, is_own).await
+            }
+        }
+    }
+
+    fn after_answer(&mut self, answer: Answer) -> NextStep {
+        // A target that ran out of time would do so again.
+        let is_repeatable = answer.status.is_server_error()
+            && !self.is_downstream_failure
+            && answer.status != StatusCode::GATEWAY_TIMEOUT
+            && self.arrived_at.elapsed() < self.route.objective.mul_f64(LATEST_REPEAT_PART);
+        if !is_repeatable || !self.may_repeat() {
+            return NextStep::Answer(truthful(answer));
+        }
+        NextStep::TryAnother
+    }
+
+    fn after_refusal(&mut self, key: TargetKey, reason: RefusalReason, wait: Duration) -> NextStep {
+        self.refusals += 1;
+        let may_go_on = match reason {
+            // A request that reached a target counts in the budget of retries even if the target refused it.
+            RefusalReason::TargetRefused | RefusalReason::TargetReplaced => {
+                self.turned_away.push(key);
+                self.times_turned_away += 1;
+                self.times_turned_away < MAX_TURNED_AWAY && self.try_retry(RetryCause::Refused)
+            }
+            _ => {
+                if !self.excluded.contains(&key) {
+                    self.excluded.push(key);
+                }
+                self.excluded.len() < MAX_REFUSALS
+            }
+        };
+        if may_go_on {
+            NextStep::TryAnother
+        } else {
+            NextStep::Answer(self.give_up(reason, wait))
+        }
+    }
+
+    async fn after_loss(&mut self, choice: &RouteChoice, is_own: bool) -> NextStep {
+        if self.may_repeat() {
+            return NextStep::TryAnother;
+        }
+        if self.hop.is_at_most_once && !is_own {
+            let attempt_id = self.hop.attempt_id;
+            let peers = &self.state.peers;
+            let is_unrun = peers
+                .cancel(choice.address, choice.node_id, attempt_id)
+                .await;
+            log::info!(
+                "event=cancelled request_id={} peer={} not_run={is_unrun}",
+                self.id,
+                choice.address
+            );
+            if is_unrun {
+                self.attempts -= 1;
+                return self.after_refusal(choice.key, RefusalReason::AnswerLost, Duration::ZERO);
+            }
+        }
+        NextStep::Answer(Answer::own(
+            StatusCode::BAD_GATEWAY,
+            RefusalReason::AnswerLost.as_str(),
+        ))
+    }
+
+    /// Decides whether the request may be sent again although an earlier attempt may have run.
+    fn may_repeat(&mut self) -> bool {
+        !self.hop.is_at_most_once
+            && self.attempts < self.route.attempts
+            && Instant::now() < self.end_at
+            && self.try_retry(RetryCause::MayHaveRun)
+    }
+
+    fn try_retry(&mut self, cause: RetryCause) -> bool {
+        let is_allowed = self
+            .state
+            .try_retry(&self.hop.service, self.hop.urgency, cause);
+        self.hop.is_repeat |= is_allowed;
+        is_allowed
+    }
+
+    /// Answers at the end of the time. Only a request that no target may have run is refused with a promise.
+    fn expired(&self) -> Answer {
+        if self.attempts == 0 {
+            return self.give_up(RefusalReason::DeadlineExceeded, Duration::ZERO);
+        }
+        Answer::own(
+            StatusCode::GATEWAY_TIMEOUT,
+            RefusalReason::DeadlineExceeded.as_str(),
+        )
+    }
+
+    fn give_up(&self, reason: RefusalReason, wait: Duration) -> Answer {
+        if self.attempts > 0 {
+            return Answer::own(StatusCode::BAD_GATEWAY, reason.as_str());
+        }
+        refusal(self.state, reason, wait)
+    }
+
+    /// Returns whether a call was turned away, here or further down; running its parent again would not help.
+    pub(super) fn is_turned_away(&self, answer: &Answer) -> bool {
+        answer.status == StatusCode::SERVICE_UNAVAILABLE || self.is_downstream_failure
+    }
+
+    /// Returns whether the request is a call of one that runs at the own target.
+    pub(super) fn is_nested(&self) -> bool {
+        self.hop.is_nested
+    }
+
+    pub(super) fn is_repeat(&self) -> bool {
+        self.hop.is_repeat
+    }
+
+    pub(super) fn service(&self) -> &ServiceName {
+        &self.hop.service
+    }
+
+    fn log_attempt(&self, choice: &RouteChoice, outcome: &str, detail: &str, span: Duration) {
+        self.state.metrics.count(match outcome {
+            "ran" => "attempt.ran",
+            "not-run" => "attempt.not_run",
+            "timeout" => "attempt.timeout",
+            _ => "attempt.unknown",
+        });
+        log::info!(
+            "event=attempt request_id={} service={} node={} peer={} outcome={outcome} detail={detail:?} span_ms={}",
+            self.id,
+            self.hop.service,
+            choice.node_id,
+            choice.address,
+            span.as_millis()
+        );
+    }
+
+    pub(super) fn log_answer(&self, answer: &Answer) {
+        self.state.metrics.count(match answer.status.as_u16() {
+            200..300 => "answer.success",
+            503 => "answer.refused",
+            504 => "answer.timeout",
+            _ => "answer.failure",
+        });
+        log::info!(
+            "event=answered request_id={} route={} version={} nested={} status={} attempts={} refusals={} span_ms={}",
+            self.id,
+            self.route.name,
+            self.version,
+            self.hop.is_nested,
+            answer.status.as_u16(),
+            self.attempts,
+            self.refusals,
+            self.arrived_at.elapsed().as_millis()
+        );
+    }
+}
+
+/// Ends an attempt that was given up without a verdict on its target.
+#[derive(Debug)]
+struct InFlight<'a> {
+    state: &'a GatewayState,
+    key: Option<TargetKey>,
+}
+
+impl InFlight<'_> {
+    fn record(mut self, route: &RouteEntry, span: Duration, sent: SendResult, report: LoadReport) {
+        let Some(key) = self.key.take() else {
+            return;
+        };
+        let now = self.state.now();
+        lock(&self.state.table).record(now, key, &route.name, span, sent, &report);
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            lock(&self.state.table).cancel_started(key);
+        }
+    }
+}
+
+/// Replaces a status that would promise that the request has not run.
+fn truthful(answer: Answer) -> Answer {
+    let promises = matches!(
+        answer.status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    );
+    if promises {
+        let reason = RefusalReason::TargetRefused.as_str();
+        return Answer::own(StatusCode::BAD_GATEWAY, reason);
+    }
+    answer
+}
+
+fn load_report(wait: Duration, is_nested: bool) -> LoadReport {
+    LoadReport {
+        queue_wait: Some(wait),
+        is_nested,
+        ..LoadReport::default()
+    }
+}
+
+/// Refuses a request that has not run and tells its client when to come back.
+pub(super) fn refusal(state: &GatewayState, reason: RefusalReason, wait: Duration) -> Answer {
+    let wait = if wait.is_zero() { RETRY_AFTER } else { wait };
+    let wait = state.jitter(wait.max(MIN_RETRY_AFTER));
+    Answer::own(StatusCode::SERVICE_UNAVAILABLE, reason.as_str()).with_retry_after(wait)
+}
+
+fn read_deadline(headers: &HeaderMap, state: &GatewayState) -> Option<Duration> {
+    let value = headers.get(&state.config.names.deadline_ms)?;
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    if millis.is_none() {
+        log::info!("event=deadline_malformed value={value:?}");
+    }
+    millis.map(Duration::from_millis)
+}
+
+/// Returns the class that stands for a rank; only the order matters here.
+fn class_of(urgency: u32) -> PriorityClass {
+    match urgency {
+        0 => PriorityClass::Critical,
+        1 => PriorityClass::Upload,
+        2 => PriorityClass::Interactive,
+        _ => PriorityClass::Read,
+    }
+}
+
+fn new_attempt_id() -> AttemptId {
+    AttemptId::from_uuid(Uuid::new_v4())
+}
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -11,14 +11,15 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::admission::{SlotAction, SlotDecision, SlotQueue, SlotRequest, WaitKey};
-use crate::retry::{HandOverRecord, HandOverVerdict};
+use crate::admission::{SlotDecision, SlotQueue, SlotRequest, WaitKey};
+use crate::retry::HandOverRecord;
 use crate::routing::TargetState;
 use crate::types::{AttemptId, RefusalReason, TickTime};
 
 use super::announced_target::{AnnouncedTarget, ReportVerdict, TargetReport};
 use super::answer::HopResult;
 use super::config::{GatewayConfig, HeaderNames};
+use super::gate_state::{GateState, Refusal, WaitingRequest};
 use super::hop::HopRequest;
 use super::parents::ParentTable;
 use super::state::lock;
@@ -46,23 +47,6 @@
     state: Mutex<GateState>,
 }
 
-#[derive(Debug)]
-struct GateState {
-    target: AnnouncedTarget,
-    queue: SlotQueue,
-    waiting: BTreeMap<WaitKey, WaitingRequest>,
-    hand_overs: HandOverRecord,
-    connect_failures: u32,
-    is_stopping: bool,
-}
-
-/// Request that waits for a slot.
-#[derive(Debug)]
-struct WaitingRequest {
-    grant: oneshot::Sender<Result<(), Duration>>,
-    is_nested: bool,
-}
-
 /// What is known about an attempt that was to be cancelled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CancelVerdict {
@@ -197,8 +181,6 @@
     }
 }
 
-type Refusal = (RefusalReason, Duration);
-
 impl GateShared {
     fn now(&self) -> TickTime {
         TickTime::from_start(self.started.elapsed())
@@ -362,96 +344,6 @@
     }
 }
 
-impl GateState {
-    fn ready(&self, oldest: TickTime) -> Option<&TargetReport> {
-        self.target.ready(oldest).filter(|_| !self.is_stopping)
-    }
-
-    fn check(&self, oldest: TickTime, request: &HopRequest) -> Result<(), Refusal> {
-        let refuse = |reason| Err((reason, Duration::ZERO));
-        if self.is_stopping {
-            return refuse(RefusalReason::Stopping);
-        }
-        let verdict = self
-            .hand_overs
-            .check(request.attempt_id, request.is_at_most_once);
-        refuse_unless_allowed(verdict)?;
-        let Some(target) = self.ready(oldest) else {
-            let is_leaving = self
-                .target
-                .current()
-                .is_some_and(|target| target.state == TargetState::Leaving);
-            return refuse(if is_leaving {
-                RefusalReason::TargetLeaving
-            } else {
-                RefusalReason::TargetDown
-            });
-        };
-        if target.service != request.service {
-            return refuse(RefusalReason::UnknownService);
-        }
-        Ok(())
-    }
-
-    /// Records the hand-over and returns the identity of the target. The request may have been cancelled, or its target
-    /// lost, since it got its slot.
-    fn begin(
-        &mut self,
-        now: TickTime,
-        oldest: TickTime,
-        request: &HopRequest,
-    ) -> Result<String, Refusal> {
-        let Some(id) = self.ready(oldest).map(|target| target.id.clone()) else {
-            return Err((RefusalReason::TargetDown, Duration::ZERO));
-        };
-        let (attempt_id, is_at_most_once) = (request.attempt_id, request.is_at_most_once);
-        refuse_unless_allowed(self.hand_overs.begin(now, attempt_id, is_at_most_once))?;
-        Ok(id)
-    }
-
-    /// Adjusts the queue to the target in use.
-    fn follow_target(&mut self, now: TickTime) {
-        let ready = self.target.current();
-        let ready = ready.filter(|target| target.state == TargetState::Ready && !self.is_stopping);
-        let actions = match ready.map(|target| target.slots) {
-            Some(slots) => {
-                self.queue.set_slots(slots);
-                self.queue.start_waiting(now)
-            }
-            None => self.queue.refuse_all(),
-        };
-        self.perform(now, actions);
-    }
-
-    fn perform(&mut self, now: TickTime, actions: Vec<SlotAction>) {
-        for action in actions {
-            let (key, verdict) = match action {
-                SlotAction::Start(key) => (key, Ok(())),
-                SlotAction::Refuse(key, wait) => (key, Err(wait)),
-            };
-            let is_start = verdict.is_ok();
-            let Some(waiting) = self.waiting.remove(&key) else {
-                continue;
-            };
-            let is_heard = waiting.grant.send(verdict).is_ok();
-            if is_start && !is_heard {
-                // The request was given up meanwhile; its slot goes to the next one.
-                let actions = self.queue.finish(now, waiting.is_nested, None);
-                self.perform(now, actions);
-            }
-        }
-    }
-}
-
-fn refuse_unless_allowed(verdict: HandOverVerdict) -> Result<(), Refusal> {
-    let reason = match verdict {
-        HandOverVerdict::Allowed => return Ok(()),
-        HandOverVerdict::Forbidden => RefusalReason::Cancelled,
-        HandOverVerdict::Copy => RefusalReason::DuplicateInFlight,
-    };
-    Err((reason, Duration::ZERO))
-}
-
 /// Holds a slot until it is dropped.
 #[derive(Debug)]
 struct SlotGuard {
