--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -29,6 +29,7 @@
 /// Part of the latency objective after which a failed request is not sent again: the repeat would be late, and its work
 /// would be missing elsewhere.
 const LATEST_REPEAT_PART: f64 = 0.4;
+/// A client that comes back sooner would mostly meet the same queue.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// One request on its way through attempts at targets.
