Refuse requests that waited until their end instead of leaving their outcome open

The node beside the target now refuses 100 ms before the end, so that the refusal arrives, and an entry whose attempt ends without a result asks whether it was handed over, for reads too; hand-overs of reads are recorded for that. Ruled out: refusals further down; they answer 502 or 504 only after a run. Tests: sidecar_refuses_waiting_at_own_endpoint, sidecar_refuses_waiting_at_other_node (504 on, 503 with Retry-After now).

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,6 +15,7 @@
 
 use super::answer::{Answer, HopResult};
 use super::entry::EntryRequest;
+use super::gate::CancelVerdict;
 use super::hop::{HopRequest, strip_connection_headers};
 use super::state::{GatewayState, RetryCause, lock};
 
@@ -100,6 +101,7 @@
             urgency: parent.map_or(route.urgency, |parent| parent.urgency),
             objective: route.objective,
             timeout: route.timeout,
+            refusal_time: Duration::ZERO,
         };
         let mut end_at = arrived_at + deadline.min(route.timeout);
         if let Some(parent) = parent {
@@ -196,9 +198,13 @@
         let result = timeout(self.hop.timeout, sending).await;
         let span = self.state.now() - now;
         let Ok(result) = result else {
-            in_flight.record(self.route, span, SendResult::Failed, LoadReport::default());
             self.log_attempt(&choice, "timeout", "", span);
-            self.attempts += 1;
+            if self.is_proven_unrun(&choice, is_own).await {
+                drop(in_flight);
+            } else {
+                in_flight.record(self.route, span, SendResult::Failed, LoadReport::default());
+                self.attempts += 1;
+            }
             return NextStep::Answer(self.expired());
         };
         match result {
@@ -291,21 +297,9 @@
         if self.may_repeat() {
             return NextStep::TryAnother;
         }
-        if self.hop.is_at_most_once && !is_own {
-            let attempt_id = self.hop.attempt_id;
-            let peers = &self.state.peers;
-            let is_unrun = peers
-                .cancel(choice.address, choice.node_id, attempt_id)
-                .await;
-            log::info!(
-                "event=cancelled request_id={} peer={} not_run={is_unrun}",
-                self.id,
-                choice.address
-            );
-            if is_unrun {
-                self.attempts -= 1;
-                return self.after_refusal(choice.key, RefusalReason::AnswerLost, Duration::ZERO);
-            }
+        if !is_own && self.is_proven_unrun(choice, is_own).await {
+            self.attempts -= 1;
+            return self.after_refusal(choice.key, RefusalReason::AnswerLost, Duration::ZERO);
         }
         NextStep::Answer(Answer::own(
             StatusCode::BAD_GATEWAY,
@@ -313,6 +307,26 @@
         ))
     }
 
+    /// Asks the node beside the target to forbid an attempt without a result; returns whether it has not run and never
+    /// will.
+    async fn is_proven_unrun(&self, choice: &RouteChoice, is_own: bool) -> bool {
+        let attempt_id = self.hop.attempt_id;
+        let is_unrun = if is_own {
+            self.state.gate.cancel(attempt_id) == CancelVerdict::NotRun
+        } else {
+            let peers = &self.state.peers;
+            peers
+                .cancel(choice.address, choice.node_id, attempt_id)
+                .await
+        };
+        log::info!(
+            "event=cancelled request_id={} peer={} not_run={is_unrun}",
+            self.id,
+            choice.address
+        );
+        is_unrun
+    }
+
     /// Decides whether the request may be sent again although an earlier attempt may have run.
     fn may_repeat(&mut self) -> bool {
         !self.hop.is_at_most_once
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -200,7 +200,7 @@
                 is_nested: request.is_nested,
                 urgency: request.urgency,
                 objective: now + request.objective,
-                deadline: now + request.timeout,
+                deadline: now + request.timeout.saturating_sub(request.refusal_time),
             };
             let (decision, actions) = state.queue.offer(now, slot_request);
             state.perform(now, actions);
--- a/src/gateway/hop.rs
+++ b/src/gateway/hop.rs
@@ -34,6 +34,10 @@
 const FLAG_AT_MOST_ONCE: u8 = 2;
 const FLAG_REPEAT: u8 = 4;
 
+/// A tick of the queue, a round trip between regions, and the work of two busy nodes. A request that waits until its very
+/// end is given up by its sender, who then cannot tell that it has not run.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
 const HOP_BY_HOP: [HeaderName; 8] = [
     CONNECTION,
     CONTENT_LENGTH,
@@ -69,6 +73,8 @@
     pub(super) objective: Duration,
     /// Time left until an answer is of no use.
     pub(super) timeout: Duration,
+    /// Time that a refusal needs to reach the sender; it is not part of the message.
+    pub(super) refusal_time: Duration,
 }
 
 /// Removes headers that concern one connection only, and those of the mesh itself.
@@ -146,6 +152,7 @@
             urgency: number(&headers, &URGENCY)?,
             objective: Duration::from_millis(number(&headers, &OBJECTIVE_MS)?),
             timeout: Duration::from_millis(number(&headers, &TIMEOUT_MS)?),
+            refusal_time: REFUSAL_TIME,
             headers: HeaderMap::new(),
         };
         strip_connection_headers(&mut headers);
--- a/src/retry/hand_over.rs
+++ b/src/retry/hand_over.rs
@@ -43,7 +43,7 @@
         is_at_most_once: bool,
     ) -> HandOverVerdict {
         let verdict = self.check(id, is_at_most_once);
-        if verdict == HandOverVerdict::Allowed && is_at_most_once {
+        if verdict == HandOverVerdict::Allowed {
             self.handed_over.cancel(now, id);
         }
         verdict
