--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -5,7 +5,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use crate::types::TickTime;
+use crate::types::{ChainRank, TickTime};
 
 new_key_type! {
     /// Handle of a waiting request.
@@ -43,6 +43,8 @@
     pub is_nested: bool,
     /// Rank of the route; 0 is the most urgent.
     pub urgency: u32,
+    /// Order among equally urgent requests, drawn from the chain of calls that the request belongs to.
+    pub chain_rank: ChainRank,
     /// Time until which an answer is of full use.
     pub objective: TickTime,
     /// Time after which an answer is of no use.
@@ -75,9 +77,11 @@
 /// Order of waiting requests; the smallest starts first and the greatest is displaced first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct WaitRank {
-    // Requests of running work go first, since their parents hold slots.
-    is_outer: bool,
     urgency: u32,
+    // Among equally urgent ones, calls of running work go first, since their parents hold slots.
+    is_outer: bool,
+    // A chain succeeds only if all its calls do. Short of room, every target serves the same chains.
+    chain_rank: ChainRank,
     sequence: u64,
 }
 
@@ -100,7 +104,10 @@
     /// Average number of calls of running requests that run or wait.
     nested_load: f64,
     entries: SlotMap<WaitKey, WaitEntry>,
-    waiting: BTreeMap<WaitRank, WaitKey>,
+    /// Waiting calls of running requests. They are kept apart, because they may use slots that others may not.
+    nested: BTreeMap<WaitRank, WaitKey>,
+    /// Other waiting requests.
+    outer: BTreeMap<WaitRank, WaitKey>,
     sequence: u64,
     nested_time: ServiceTime,
     outer_time: ServiceTime,
@@ -142,7 +149,8 @@
             nested_seen_at: None,
             nested_load: 0.0,
             entries: SlotMap::with_key(),
-            waiting: BTreeMap::new(),
+            nested: BTreeMap::new(),
+            outer: BTreeMap::new(),
             sequence: 0,
             nested_time: ServiceTime::default(),
             outer_time: ServiceTime::default(),
@@ -161,27 +169,26 @@
 
     /// Returns the number of requests that wait.
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        self.entries.len()
     }
 
-    /// Returns the expected wait of a request that would be placed last among its kind. Calls of running requests pass all
-    /// others, so they only wait for each other.
+    /// Returns the expected wait of a request that would be placed last among its kind. Calls of running requests pass others
+    /// as urgent as they are, so they are taken to wait for each other only.
     pub fn expected_wait(&self, is_nested: bool) -> Duration {
         if self.running < self.slots {
             return Duration::ZERO;
         }
-        let nested = self.waiting_nested();
-        let outer = if is_nested {
-            0
-        } else {
-            self.waiting.len() - nested
-        };
+        let nested = self.nested.len();
+        let outer = if is_nested { 0 } else { self.outer.len() };
         self.wait_behind(WaitingCount { nested, outer }, is_nested)
     }
 
-    fn waiting_nested(&self) -> usize {
-        let ranks = self.waiting.keys();
-        ranks.take_while(|rank| !rank.is_outer).count()
+    fn queue_mut(&mut self, is_nested: bool) -> &mut BTreeMap<WaitRank, WaitKey> {
+        if is_nested {
+            &mut self.nested
+        } else {
+            &mut self.outer
+        }
     }
 
     /// Decides about a request. Waiting requests that it displaces are in the actions.
@@ -198,34 +205,28 @@
         if request.is_nested {
             self.note_nested(now);
         }
-        let is_first = match self.waiting.first_key_value() {
-            Some((first, _)) => request.is_nested && first.is_outer,
-            None => true,
-        };
+        let is_first = self.queue_mut(request.is_nested).is_empty();
         if self.has_room(now, request.is_nested) && is_first {
             self.occupy(request.is_nested);
             return (SlotDecision::Start, actions);
         }
         self.sequence += 1;
         let rank = WaitRank {
-            is_outer: !request.is_nested,
             urgency: request.urgency,
+            is_outer: !request.is_nested,
+            chain_rank: request.chain_rank,
             sequence: self.sequence,
         };
-        let mut ahead = WaitingCount::default();
-        for (rank, _) in self.waiting.range(..rank) {
-            if rank.is_outer {
-                ahead.outer += 1;
-            } else {
-                ahead.nested += 1;
-            }
-        }
+        let ahead = WaitingCount {
+            nested: self.nested.range(..rank).count(),
+            outer: self.outer.range(..rank).count(),
+        };
         let wait = self.wait_behind(ahead, request.is_nested);
         if now + wait > self.latest_start(&request) || !self.make_room(rank, &mut actions) {
             return (SlotDecision::Refuse { wait }, actions);
         }
         let key = self.entries.insert(WaitEntry { request, rank });
-        self.waiting.insert(rank, key);
+        self.queue_mut(request.is_nested).insert(rank, key);
         (SlotDecision::Wait(key), actions)
     }
 
@@ -256,7 +257,7 @@
         let Some(entry) = self.entries.remove(key) else {
             return false;
         };
-        self.waiting.remove(&entry.rank);
+        self.queue_mut(entry.request.is_nested).remove(&entry.rank);
         true
     }
 
@@ -277,15 +278,11 @@
     /// Starts waiting requests while slots are free.
     pub fn start_waiting(&mut self, now: TickTime) -> Vec<SlotAction> {
         let mut actions = Vec::new();
-        while let Some((rank, key)) = self.waiting.first_key_value() {
-            let (rank, key) = (*rank, *key);
-            if !self.has_room(now, !rank.is_outer) {
+        while let Some(key) = self.next_to_start(now) {
+            let Some(entry) = self.entries.get(key).copied() else {
                 break;
-            }
-            self.waiting.remove(&rank);
-            let Some(entry) = self.entries.remove(key) else {
-                continue;
             };
+            self.cancel(key);
             if entry.request.deadline <= now {
                 actions.push(SlotAction::Refuse(key, Duration::ZERO));
                 continue;
@@ -296,6 +293,16 @@
         actions
     }
 
+    /// Returns the first waiting request for which there is room.
+    fn next_to_start(&self, now: TickTime) -> Option<WaitKey> {
+        let nested = self.nested.first_key_value();
+        let nested = nested.filter(|_| self.has_room(now, true));
+        let outer = self.outer.first_key_value();
+        let outer = outer.filter(|_| self.has_room(now, false));
+        let first = nested.into_iter().chain(outer).min();
+        first.map(|(_, key)| *key)
+    }
+
     /// Returns whether a request may start. While calls of running requests arrive, other requests leave some slots free
     /// for them: a call that takes 50 ms must not wait until one of many long requests ends.
     fn has_room(&self, now: TickTime, is_nested: bool) -> bool {
@@ -315,7 +322,7 @@
 
     fn note_nested(&mut self, now: TickTime) {
         self.nested_seen_at = Some(now);
-        let waiting = self.waiting_nested() as f64;
+        let waiting = self.nested.len() as f64;
         let load = f64::from(self.running_nested) + waiting + 1.0;
         self.nested_load += NESTED_GAIN * (load - self.nested_load);
     }
@@ -349,10 +356,11 @@
     /// Displaces the last waiting request if the queue is full; returns whether there is a place.
     fn make_room(&mut self, rank: WaitRank, actions: &mut Vec<SlotAction>) -> bool {
         let bound = self.slots as usize * WAITING_PER_SLOT;
-        if self.waiting.len() < bound {
+        if self.entries.len() < bound {
             return true;
         }
-        match self.waiting.last_key_value() {
+        let lasts = [self.nested.last_key_value(), self.outer.last_key_value()];
+        match lasts.into_iter().flatten().max() {
             Some((last, key)) if *last > rank => {
                 let key = *key;
                 actions.push(self.refuse(key));
@@ -370,7 +378,7 @@
             let running_outer = self.running.saturating_sub(self.running_nested);
             let freed_per_s =
                 f64::from(self.running_nested) / nested_s + f64::from(running_outer) / outer_s;
-            (ahead.nested + 1) as f64 / freed_per_s.max(f64::EPSILON)
+            (ahead.nested + ahead.outer + 1) as f64 / freed_per_s.max(f64::EPSILON)
         } else {
             let work_s = nested_s * ahead.nested as f64 + outer_s * (ahead.outer + 1) as f64;
             work_s / f64::from(self.slots.max(1))
--- a/src/gateway/announced_target.rs
+++ b/src/gateway/announced_target.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::routing::TargetState;
 use crate::types::{ServiceName, TickTime};
@@ -46,10 +47,25 @@
     current: Option<TargetReport>,
     heard_at: TickTime,
     is_lost: bool,
+    /// Time that must lie between the first two reports after the start of the process; absent if one is enough.
+    confirm_after: Option<Duration>,
+    has_heard: bool,
+    /// Time of the first report, while the target is not known to be in service.
+    unconfirmed_since: Option<TickTime>,
     gone: VecDeque<(String, u64)>,
 }
 
 impl AnnouncedTarget {
+    /// Creates a table for a process that has run before. What its targets said then is forgotten, and a report that was
+    /// sent before a target left may still arrive. The first report therefore counts only once the target has confirmed
+    /// it, or after a second one that is later by `confirm_after`: delayed reports arrive together.
+    pub fn after_restart(confirm_after: Duration) -> Self {
+        Self {
+            confirm_after: Some(confirm_after),
+            ..Self::default()
+        }
+    }
+
     /// Takes a report over unless it is older than what is known.
     pub fn report(&mut self, now: TickTime, report: TargetReport) -> ReportVerdict {
         if self.is_gone(&report) {
@@ -78,6 +94,9 @@
         self.current = Some(TargetReport { state, ..report });
         self.heard_at = now;
         self.is_lost = false;
+        let confirm_after = self.confirm_after.unwrap_or_default();
+        self.unconfirmed_since
+            .take_if(|since| now - *since >= confirm_after);
         ReportVerdict::Updated
     }
 
@@ -87,12 +106,28 @@
     /// gone, so that a report that was sent earlier and arrives later does not bring the target back.
     pub fn remove(&mut self, id: &str, unix_ms: u64) -> bool {
         let removed = self.current.take_if(|current| current.id == id);
+        if removed.is_some() {
+            self.unconfirmed_since = None;
+        }
         let is_removed = removed.is_some();
         let born_ms = removed.map_or(unix_ms, |report| report.born_ms);
         self.note_gone(id.to_owned(), born_ms);
         is_removed
     }
 
+    /// Returns whether the target must confirm its first report.
+    pub fn awaits_confirmation(&self) -> bool {
+        self.unconfirmed_since.is_some()
+    }
+
+    /// Takes over that an incarnation has confirmed that it accepts work.
+    pub fn confirm(&mut self, id: &str, born_ms: u64) {
+        let current = self.current.as_ref();
+        if current.is_some_and(|current| current.id == id && current.born_ms == born_ms) {
+            self.unconfirmed_since = None;
+        }
+    }
+
     /// Marks the target as unreachable until its next report.
     pub fn mark_lost(&mut self) {
         self.is_lost = true;
@@ -106,14 +141,18 @@
     /// Returns the target if it may be handed new work: it is ready, reachable and was heard since `oldest`.
     pub fn ready(&self, oldest: TickTime) -> Option<&TargetReport> {
         let current = self.current.as_ref()?;
-        let is_ready = current.state == TargetState::Ready && !self.is_lost;
+        let is_known = !self.is_lost && !self.awaits_confirmation();
+        let is_ready = current.state == TargetState::Ready && is_known;
         (is_ready && self.heard_at >= oldest).then_some(current)
     }
 
     fn adopt(&mut self, now: TickTime, report: TargetReport) -> ReportVerdict {
         if let Some(replaced) = self.current.take() {
             self.note_gone(replaced.id, replaced.born_ms);
+        } else if self.confirm_after.is_some() && !self.has_heard {
+            self.unconfirmed_since = Some(now);
         }
+        self.has_heard = true;
         self.current = Some(report);
         self.heard_at = now;
         self.is_lost = false;
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -21,6 +21,8 @@
     pub expected_target: HeaderName,
     /// Present when the target states that it has not run the request.
     pub not_run: HeaderName,
+    /// Identity of the target in its answer to a health check.
+    pub target_id: HeaderName,
     /// Mark by which a target vouches for its answer.
     pub seal: HeaderName,
 }
@@ -50,6 +52,8 @@
     pub mesh_token: MeshToken,
     /// Names of headers.
     pub names: HeaderNames,
+    /// Whether the whole mesh starts for the first time, so that no target can have left before.
+    pub is_first_start: bool,
     /// Time between two reports of the target.
     pub report_interval: Duration,
     /// Retries for each request of a service that all nodes together may spend.
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -23,7 +23,7 @@
 use super::gate_state::{GateState, Refusal, WaitingRequest};
 use super::hop::HopRequest;
 use super::memory::MemoryPool;
-use super::parents::ParentTable;
+use super::parents::{ParentTable, chain_rank};
 use super::state::lock;
 use super::target_client::{ExchangeFailure, TargetClient};
 
@@ -59,7 +59,11 @@
 impl TargetGate {
     pub(super) fn new(config: &GatewayConfig, clock: TickClock, memory: MemoryPool) -> Self {
         let state = GateState {
-            target: AnnouncedTarget::default(),
+            target: if config.is_first_start {
+                AnnouncedTarget::default()
+            } else {
+                AnnouncedTarget::after_restart(config.report_interval / 2)
+            },
             queue: SlotQueue::new(0),
             waiting: BTreeMap::new(),
             hand_overs: HandOverRecord::default(),
@@ -79,7 +83,7 @@
     }
 
     /// Takes a report of the target over.
-    pub fn report(&self, report: TargetReport) -> ReportVerdict {
+    pub(super) fn report(&self, report: TargetReport) -> ReportVerdict {
         let now = self.shared.now();
         let mut state = lock(&self.shared.state);
         let verdict = state.target.report(now, report);
@@ -93,6 +97,27 @@
         verdict
     }
 
+    /// Returns the incarnation that must confirm its first report.
+    pub(super) fn unconfirmed(&self) -> Option<TargetReport> {
+        let state = lock(&self.shared.state);
+        let current = state.target.current()?;
+        let is_ready = current.state == TargetState::Ready;
+        (is_ready && state.target.awaits_confirmation()).then(|| current.clone())
+    }
+
+    /// Asks an incarnation on its health path whether it accepts work; returns whether it confirmed that.
+    pub(super) async fn confirm(&self, report: &TargetReport, health_path: &str) -> bool {
+        let client = &self.shared.client;
+        if !client.is_in_service(health_path, &report.id).await {
+            return false;
+        }
+        let now = self.shared.now();
+        let mut state = lock(&self.shared.state);
+        state.target.confirm(&report.id, report.born_ms);
+        state.follow_target(now);
+        true
+    }
+
     /// Takes over that a target has left; returns whether it was in use.
     pub fn remove(&self, id: &str) -> bool {
         let now = self.shared.now();
@@ -199,6 +224,7 @@
             let slot_request = SlotRequest {
                 is_nested: request.is_nested,
                 urgency: request.urgency,
+                chain_rank: chain_rank(&request.request_id),
                 objective: now + request.objective,
                 deadline: now + request.timeout.saturating_sub(request.refusal_time),
             };
--- a/src/gateway/parents.rs
+++ b/src/gateway/parents.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 
-use crate::types::TickTime;
+use http::header::HeaderValue;
+
+use crate::types::{ChainRank, TickTime};
 
 use super::hop::HopRequest;
 use super::state::lock;
@@ -11,6 +13,13 @@
 /// Stands between the id of a request and the ids of the calls that it makes.
 const ID_SEPARATOR: char = '.';
 
+/// Returns the order of the chain of calls that a request belongs to.
+pub(super) fn chain_rank(request_id: &HeaderValue) -> ChainRank {
+    let id = request_id.as_bytes();
+    let first_id = id.split(|byte| *byte == ID_SEPARATOR as u8).next();
+    ChainRank::from_first_id(first_id.unwrap_or(id))
+}
+
 /// Request that runs at the own target, as far as it concerns the calls that it makes.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ParentRequest {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::Notify;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use uuid::Uuid;
@@ -21,6 +22,7 @@
 use crate::routing::{RoutingSettings, TargetTable};
 use crate::types::{NodeId, ServiceName, TickTime};
 
+use super::announced_target::{ReportVerdict, TargetReport};
 use super::config::GatewayConfig;
 use super::entry::PartCounters;
 use super::gate::TargetGate;
@@ -50,6 +52,11 @@
 /// connections need the rest.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
+/// A second report confirms the target within this time anyway.
+const CONFIRM_TIME: Duration = Duration::from_secs(2);
+/// Routes come with the first heartbeat, some ten milliseconds after the start.
+const CONFIRM_POLL: Duration = Duration::from_millis(20);
+
 /// Why a request is sent to another target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RetryCause {
@@ -166,6 +173,17 @@
         &self.gate
     }
 
+    /// Takes a report of the own target over.
+    pub fn take_report(self: &Arc<Self>, report: TargetReport) -> ReportVerdict {
+        let verdict = self.gate.report(report);
+        if verdict == ReportVerdict::NewIncarnation
+            && let Some(report) = self.gate.unconfirmed()
+        {
+            tokio::spawn(confirm_target(Arc::clone(self), report));
+        }
+        verdict
+    }
+
     /// Tells the control replicas soon about a change of the own target.
     pub fn announce_soon(&self) {
         self.announced.notify_one();
@@ -237,6 +255,29 @@
     }
 }
 
+/// Asks the target whether it still accepts work, once the routes say how. If it does not confirm, the next report decides.
+async fn confirm_target(state: Arc<GatewayState>, report: TargetReport) {
+    let until = state.now() + CONFIRM_TIME;
+    let health_path = loop {
+        if let Some(service) = state.book().service(&report.service) {
+            break service.health_path.clone();
+        }
+        if state.now() >= until {
+            return;
+        }
+        sleep(CONFIRM_POLL).await;
+    };
+    let is_confirmed = !health_path.is_empty() && state.gate.confirm(&report, &health_path).await;
+    log::info!(
+        "event=target_confirmed id={:?} born_ms={} confirmed={is_confirmed}",
+        report.id,
+        report.born_ms
+    );
+    if is_confirmed {
+        state.announce_soon();
+    }
+}
+
 /// Counts a request that is being answered, so that a stop can wait for it.
 #[derive(Debug)]
 pub(super) struct ActiveGuard<'a>(&'a AtomicUsize);
--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use http::header::{CONNECTION, CONTENT_ENCODING, HOST, HeaderMap, HeaderName, HeaderValue};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -35,6 +35,8 @@
 const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_secs(1);
 /// Time kept between the announced end of an idle connection and its last use.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+/// A health check waits for a slot like any other request; a report follows soon if it takes longer.
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Bytes of an answer's head; also bounds what a connection buffers.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
@@ -121,10 +123,30 @@
         Ok(result)
     }
 
+    /// Asks the target on a new connection whether it accepts work under an identity.
+    pub(super) async fn is_in_service(&self, health_path: &str, id: &str) -> bool {
+        let asking = async {
+            let mut connection = self.open().await.ok()?;
+            let request = Request::get(health_path)
+                .header(HOST, self.address.to_string())
+                .body(Full::default())
+                .ok()?;
+            let response = connection.sender.send_request(request).await.ok()?;
+            let is_same =
+                response.headers().get(&self.names.target_id)?.as_bytes() == id.as_bytes();
+            Some(is_same && response.status() == StatusCode::OK)
+        };
+        matches!(timeout(HEALTH_TIMEOUT, asking).await, Ok(Some(true)))
+    }
+
     async fn connect(&self, is_at_most_once: bool) -> Result<TargetConnection, ExchangeFailure> {
         if let Some(connection) = self.take_idle(is_at_most_once).await {
             return Ok(connection);
         }
+        self.open().await
+    }
+
+    async fn open(&self) -> Result<TargetConnection, ExchangeFailure> {
         let failed = |error: &dyn std::fmt::Display| ExchangeFailure::Connect(error.to_string());
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
             .await
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -4,6 +4,6 @@
 mod convert;
 mod difference;
 
-pub use book::{RepeatKind, RouteBook, RouteEntry, RouteKey, RouteLimits, RoutePart};
+pub use book::{RepeatKind, RouteBook, RouteEntry, RouteKey, RouteLimits, RoutePart, ServiceEntry};
 pub use convert::document_digest;
 pub use difference::{apply_delta, route_delta};
--- a/src/routes/book.rs
+++ b/src/routes/book.rs
@@ -50,6 +50,15 @@
     pub parts: Vec<RoutePart>,
 }
 
+/// One service of the book.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceEntry {
+    /// Connections that each target accepts from all callers.
+    pub connections: u32,
+    /// Path on which a target says whether it accepts work; empty if it does not.
+    pub health_path: String,
+}
+
 /// Bounds on what a client may send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RouteLimits {
@@ -84,7 +93,7 @@
 pub struct RouteBook {
     pub(super) version: u64,
     pub(super) routes: Vec<RouteEntry>,
-    pub(super) connections: BTreeMap<ServiceName, u32>,
+    pub(super) services: BTreeMap<ServiceName, ServiceEntry>,
     pub(super) limits: RouteLimits,
     by_host: BTreeMap<String, Vec<RouteKey>>,
 }
@@ -93,7 +102,7 @@
     pub(super) fn new(
         version: u64,
         routes: Vec<RouteEntry>,
-        connections: BTreeMap<ServiceName, u32>,
+        services: BTreeMap<ServiceName, ServiceEntry>,
         limits: RouteLimits,
     ) -> Self {
         let mut by_host: BTreeMap<String, Vec<RouteKey>> = BTreeMap::new();
@@ -108,7 +117,7 @@
         Self {
             version,
             routes,
-            connections,
+            services,
             limits,
             by_host,
         }
@@ -124,9 +133,9 @@
         &self.limits
     }
 
-    /// Returns the connections that each target of a service accepts, if the service is listed.
-    pub fn connections(&self, service: &ServiceName) -> Option<u32> {
-        self.connections.get(service).copied()
+    /// Returns a service, if it is listed.
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceEntry> {
+        self.services.get(name)
     }
 
     /// Returns a route of this book.
--- a/src/routes/convert.rs
+++ b/src/routes/convert.rs
@@ -11,7 +11,7 @@
 };
 use crate::types::ServiceName;
 
-use super::book::{RepeatKind, RouteBook, RouteEntry, RouteLimits, RoutePart};
+use super::book::{RepeatKind, RouteBook, RouteEntry, RouteLimits, RoutePart, ServiceEntry};
 
 /// Longest timeout of a route that an operator may ask for.
 const MAX_TIMEOUT: Duration = Duration::from_mins(10);
@@ -30,7 +30,7 @@
 
     fn try_from(set: &RouteSet) -> Result<Self> {
         let mut findings = FindingList::default();
-        let connections = read_services(&set.services, &mut findings);
+        let services = read_services(&set.services, &mut findings);
         let mut places = BTreeSet::new();
         let mut routes = Vec::with_capacity(set.routes.len());
         for row in &set.routes {
@@ -41,13 +41,13 @@
             if !places.insert((row.host.as_str(), row.prefix.as_str())) {
                 check.report("prefix", "another route has the same host and prefix");
             }
-            routes.extend(check.read(&connections));
+            routes.extend(check.read(&services));
         }
         if set.version == 0 {
             report(&mut findings, "version", "must be above 0");
         }
         let limits = set.limits.as_ref().map(read_limits).unwrap_or_default();
-        let book = Self::new(set.version, routes, connections, limits);
+        let book = Self::new(set.version, routes, services, limits);
         findings.into_result(Some(book))
     }
 }
@@ -64,12 +64,16 @@
 fn read_services(
     services: &[RouteService],
     findings: &mut FindingList,
-) -> BTreeMap<ServiceName, u32> {
-    let mut connections = BTreeMap::new();
+) -> BTreeMap<ServiceName, ServiceEntry> {
+    let mut entries = BTreeMap::new();
     for service in services {
         match ServiceName::try_from(service.name.as_str()) {
             Ok(name) => {
-                connections.insert(name, service.connections);
+                let entry = ServiceEntry {
+                    connections: service.connections,
+                    health_path: service.health_path.clone(),
+                };
+                entries.insert(name, entry);
             }
             Err(error) => report(
                 findings,
@@ -78,7 +82,7 @@
             ),
         }
     }
-    connections
+    entries
 }
 
 fn read_limits(limits: &LimitsMessage) -> RouteLimits {
@@ -112,7 +116,7 @@
         report(self.findings, key, message);
     }
 
-    fn read(&mut self, services: &BTreeMap<ServiceName, u32>) -> Option<RouteEntry> {
+    fn read(&mut self, services: &BTreeMap<ServiceName, ServiceEntry>) -> Option<RouteEntry> {
         let row = self.row;
         let timeout = Duration::from_millis(row.timeout_ms.into());
         let objective = Duration::from_millis(row.objective_ms.into());
@@ -156,7 +160,7 @@
         })
     }
 
-    fn read_parts(&mut self, services: &BTreeMap<ServiceName, u32>) -> Vec<RoutePart> {
+    fn read_parts(&mut self, services: &BTreeMap<ServiceName, ServiceEntry>) -> Vec<RoutePart> {
         let mut parts = Vec::with_capacity(self.row.parts.len());
         for part in &self.row.parts {
             let name = ServiceName::try_from(part.service.as_str()).ok();
--- a/src/types.rs
+++ b/src/types.rs
@@ -11,5 +11,5 @@
 pub use ids::{AttemptId, IdempotencyKey, NodeId, RequestId};
 pub use names::{CallerName, PathPrefix, PlanName, RegionName, ServiceName, ZoneName};
 pub use outcome::{AttemptOutcome, RefusalReason};
-pub use priority::{PriorityClass, RequestPriority};
+pub use priority::{ChainRank, PriorityClass, RequestPriority};
 pub use time::TickTime;
--- a/src/types/priority.rs
+++ b/src/types/priority.rs
@@ -93,3 +93,15 @@
         PriorityClass::ALL[(self.0 >> CLASS_SHIFT) as usize]
     }
 }
+
+/// Order of chains of calls, the smallest first. It is drawn from the id of the request that the chain began with, so that it
+/// is the same at every node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct ChainRank(u32);
+
+impl ChainRank {
+    /// Derives the rank from the id of the first request.
+    pub fn from_first_id(first_id: &[u8]) -> Self {
+        Self(crc32fast::hash(first_id))
+    }
+}
--- a/tests/announced_target.rs
+++ b/tests/announced_target.rs
@@ -84,3 +84,41 @@
     assert!(target.ready(at(100)).is_some());
     assert!(target.ready(at(101)).is_none());
 }
+
+const CONFIRM_AFTER: std::time::Duration = std::time::Duration::from_millis(750);
+
+// Guards against a target that has left and is in use again after a restart of its node, because reports from before
+// arrive late and together.
+#[test]
+fn report_late_after_restart() {
+    let mut target = AnnouncedTarget::after_restart(CONFIRM_AFTER);
+    target.report(at(0), report("a", 10, 5, TargetState::Ready));
+    target.report(at(20), report("a", 10, 6, TargetState::Ready));
+    assert!(target.awaits_confirmation());
+    assert!(target.ready(at(0)).is_none());
+    target.report(at(1_500), report("a", 10, 8, TargetState::Leaving));
+    assert!(target.ready(at(0)).is_none());
+}
+
+// Guards against a target in service that stays out after a restart of its node.
+#[test]
+fn report_confirmed_after_restart() {
+    let mut target = AnnouncedTarget::after_restart(CONFIRM_AFTER);
+    target.report(at(0), report("a", 10, 5, TargetState::Ready));
+    target.confirm("a", 9);
+    assert!(
+        target.ready(at(0)).is_none(),
+        "another incarnation confirmed"
+    );
+    target.confirm("a", 10);
+    assert!(target.ready(at(0)).is_some());
+    let mut target = AnnouncedTarget::after_restart(CONFIRM_AFTER);
+    target.report(at(0), report("a", 10, 5, TargetState::Ready));
+    target.report(at(1_500), report("a", 10, 6, TargetState::Ready));
+    assert!(target.ready(at(0)).is_some());
+    target.report(at(2_000), report("b", 20, 1, TargetState::Ready));
+    assert!(
+        target.ready(at(0)).is_some(),
+        "only the first one is in doubt"
+    );
+}
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -28,6 +28,7 @@
     let services = ["orders", "stock"].map(|name| RouteService {
         name: name.to_owned(),
         connections: 10,
+        health_path: String::new(),
     });
     RouteSet {
         version,
