Bound heads and interim answers of targets in the product's own proxy too

Cause: the proxy read interim answers without end until the deadline of the request, and heads up to hyper's 400 kB; an attempt whose deadline passed during a pause was polled once, which can write it to the target. Test: endless_interim_answers_are_bounded (504 at the deadline on, 502 at once now). The check of the deadline before the hand-over has no test of its own here; the gateway's has (sidecar_refuses_expired_after_pause).

--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -1,8 +1,7 @@
 //! Connections to the own target: one request at a time on each, reused while nothing unexpected was seen.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,13 +9,12 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::answer_bounds::{InterimBound, MAX_HEAD_BYTES};
 use crate::types::RefusalReason;
 
 use super::answer::{Answer, HopResult};
@@ -38,11 +36,6 @@
 /// A health check waits for a slot like any other request; a report follows soon if it takes longer.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// Bytes of an answer's head; also bounds what a connection buffers.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Interim answers (status 1xx) before the final one. Targets send one or two; a target in trouble may send them without
-/// end, and each resets nothing that would otherwise bound the answer.
-const MAX_INTERIM_ANSWERS: usize = 16;
 const MAX_POOLED: usize = 256;
 
 #[derive(Debug)]
@@ -272,30 +265,6 @@
     }
 }
 
-/// Counts the interim answers to one request.
-#[derive(Debug, Default)]
-struct InterimBound {
-    count: AtomicUsize,
-    exceeded: Notify,
-}
-
-impl InterimBound {
-    fn watch(request: &mut Request<Full<Bytes>>) -> Arc<Self> {
-        let bound = Arc::new(Self::default());
-        let counted = Arc::clone(&bound);
-        on_informational(request, move |_| {
-            if counted.count.fetch_add(1, Ordering::Relaxed) + 1 == MAX_INTERIM_ANSWERS {
-                counted.exceeded.notify_one();
-            }
-        });
-        bound
-    }
-
-    async fn exceeded(&self) {
-        self.exceeded.notified().await;
-    }
-}
-
 fn describe(error: &hyper::Error) -> String {
     let mut detail = error.to_string();
     let mut source = std::error::Error::source(error);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The design is described in `docs/design.md`.
 
 pub mod admission;
+mod answer_bounds;
 pub mod call;
 mod clock;
 pub mod command;
--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -11,6 +11,7 @@
 use hyper_util::client::legacy::{Client, Error as ClientError};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use crate::answer_bounds::{InterimBound, MAX_HEAD_BYTES};
 use crate::error::{MeshError, Result};
 use crate::node::lock;
 
@@ -70,6 +71,7 @@
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(MAX_IDLE_PER_PEER)
         .pool_timer(TokioTimer::new())
+        .http1_max_buf_size(MAX_HEAD_BYTES)
         .build(connector)
 }
 
@@ -82,19 +84,25 @@
 /// Sends a request and waits for the head of the answer.
 pub(crate) async fn send(
     client: &MeshClient,
-    request: Request<ProxyBody>,
+    mut request: Request<ProxyBody>,
 ) -> std::result::Result<Response<Incoming>, SendFailure> {
     let peer = request.uri().authority().cloned();
-    let result = client.request(request).await;
-    result.map_err(|error| {
-        let failure = describe(&error);
+    let interim = InterimBound::watch(&mut request);
+    let result = tokio::select! {
+        result = client.request(request) => result.map_err(|error| describe(&error)),
+        () = interim.exceeded() => Err(SendFailure {
+            is_unsent: false,
+            is_connect: false,
+            detail: "too many interim answers".to_owned(),
+        }),
+    };
+    result.inspect_err(|failure| {
         log::warn!(
             "event=send_failed peer={} is_unsent={} error={:?}",
             peer.as_ref().map_or("", |peer| peer.as_str()),
             failure.is_unsent,
             failure.detail
         );
-        failure
     })
 }
 
--- a/src/proxy/hand_over.rs
+++ b/src/proxy/hand_over.rs
@@ -240,6 +240,12 @@
 async fn exchange(attempt: &mut ServedAttempt) -> Result<InboundAnswer, Refusal> {
     let state = Arc::clone(&attempt.state);
     let time_left = attempt.context.deadline.saturating_since(state.now());
+    // The process may have been paused since the attempt was admitted.
+    if time_left.is_zero() {
+        attempt.ticket.set_result(WorkResult::NotStarted);
+        let detail = "the deadline passed before the hand-over";
+        return Err(Refusal::not_run(RefusalReason::DeadlineExceeded, detail));
+    }
     let method = attempt.call.method.clone();
     let (request, epoch) = target_request(attempt, time_left)?;
     attempt.ticket.set_result(WorkResult::Failure);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -426,3 +426,39 @@
     let unknown = path.replace(&id, &uuid::Uuid::new_v4().to_string());
     assert_eq!(get(mesh.node.mesh, &unknown, &token).await.status, 404);
 }
+
+/// Interim answers until the caller closes the connection.
+fn send_interim_answers(mut stream: std::net::TcpStream) {
+    use std::io::{Read, Write};
+    // The target answers requests; a probe only connects.
+    if stream.read(&mut [0; 1_024]).unwrap_or(0) == 0 {
+        return;
+    }
+    let interim = b"HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n".repeat(1_024);
+    while stream.write_all(&interim).is_ok() {}
+}
+
+// Guards against a target that sends interim answers without end and occupies its node until nothing else is served.
+#[tokio::test]
+async fn endless_interim_answers_are_bounded() {
+    let mesh = Mesh::start("", &[]).await;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || send_interim_answers(stream));
+        }
+    });
+    let announcement =
+        json!({"service": "orders", "address": address, "slots": 4, "connections": 10}).to_string();
+    let path = "/ebonyjunction/v1/target";
+    let announced = call(mesh.node.local, Method::PUT, path, &[], announcement).await;
+    assert_eq!(announced.unwrap().status, 204);
+    let started = Instant::now();
+    let answer = post(mesh.entry.entry, "/orders/a", &[RESELLER]).await;
+    assert_eq!(answer.verdict(), "502 unknown answer-lost");
+    assert!(started.elapsed() < Duration::from_secs(2));
+    // The node still answers what needs no target.
+    let answer = get(mesh.node.entry, "/orders/a", &[]).await;
+    assert_eq!(answer.verdict(), "401 not-run unknown-caller");
+}
