--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -139,6 +139,16 @@
     outer: usize,
 }
 
+impl WaitingCount {
+    fn add(&mut self, is_nested: bool) {
+        if is_nested {
+            self.nested += 1;
+        } else {
+            self.outer += 1;
+        }
+    }
+}
+
 impl SlotQueue {
     /// Creates a queue for a target that runs `slots` requests at once.
     pub fn new(slots: u32) -> Self {
@@ -261,12 +271,26 @@
         true
     }
 
-    /// Refuses requests that can no longer start in time.
+    /// Refuses requests that can no longer start in time, because it has passed or because others came before them.
     pub fn expire(&mut self, now: TickTime) -> Vec<SlotAction> {
-        let is_late = |entry: &WaitEntry| now > self.latest_start(&entry.request);
-        let late = self.entries.iter().filter(|(_, entry)| is_late(entry));
-        let keys: Vec<WaitKey> = late.map(|(key, _)| key).collect();
-        keys.into_iter().map(|key| self.refuse(key)).collect()
+        let waiting = self.nested.iter().chain(&self.outer);
+        let mut order: Vec<(WaitRank, WaitKey)> =
+            waiting.map(|(rank, key)| (*rank, *key)).collect();
+        order.sort_unstable();
+        let mut ahead = WaitingCount::default();
+        let mut late = Vec::new();
+        for (_, key) in order {
+            let Some(entry) = self.entries.get(key) else {
+                continue;
+            };
+            let is_nested = entry.request.is_nested;
+            if now + self.time_ahead(ahead, is_nested) > self.latest_start(&entry.request) {
+                late.push(key);
+            } else {
+                ahead.add(is_nested);
+            }
+        }
+        late.into_iter().map(|key| self.refuse(key)).collect()
     }
 
     /// Refuses all waiting requests, because the target leaves or the process stops.
@@ -371,16 +395,22 @@
     }
 
     /// Returns the expected wait of a request with others to start before it.
-    fn wait_behind(&self, ahead: WaitingCount, is_nested: bool) -> Duration {
+    fn wait_behind(&self, mut ahead: WaitingCount, is_nested: bool) -> Duration {
+        ahead.add(is_nested);
+        self.time_ahead(ahead, is_nested)
+    }
+
+    /// Returns the expected time until waiting requests have started.
+    fn time_ahead(&self, ahead: WaitingCount, is_nested: bool) -> Duration {
         let (nested_s, outer_s) = (self.nested_time.seconds(), self.outer_time.seconds());
         let wait_s = if is_nested {
             // Calls of running requests take over every slot that is freed.
             let running_outer = self.running.saturating_sub(self.running_nested);
             let freed_per_s =
                 f64::from(self.running_nested) / nested_s + f64::from(running_outer) / outer_s;
-            (ahead.nested + ahead.outer + 1) as f64 / freed_per_s.max(f64::EPSILON)
+            (ahead.nested + ahead.outer) as f64 / freed_per_s.max(f64::EPSILON)
         } else {
-            let work_s = nested_s * ahead.nested as f64 + outer_s * (ahead.outer + 1) as f64;
+            let work_s = nested_s * ahead.nested as f64 + outer_s * ahead.outer as f64;
             work_s / f64::from(self.slots.max(1))
         };
         Duration::from_secs_f64(wait_s.min(MAX_WAIT_S))
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -292,3 +292,17 @@
     assert_eq!(first.len(), CHAINS / 2);
     assert_eq!(first, second);
 }
+
+// Overload by urgent work: guards against a read that is held until its objective although others have taken its place; it
+// can still be served elsewhere, or come back in time.
+#[test]
+fn expire_overtaken_read() {
+    let mut queue = busy_queue(1);
+    let read = wait(&mut queue, request(0, 2, 500));
+    assert_eq!(queue.expire(at(50)), []);
+    for _ in 0..6 {
+        wait(&mut queue, request(0, 0, 1_000));
+    }
+    let refused = queue.expire(at(100));
+    assert!(matches!(refused[..], [SlotAction::Refuse(key, _)] if key == read));
+}
