Let repeats of reads use the part of the budget that nothing more urgent asks for

Cause: while endpoints ran requests and lost the answers, reads could spend 0.16 of the budget on repeats, whoever else asked. Ranks below the first are held back by the forecast of what more urgent ones ask for, and by a tenth of the budget a second, so the fixed part for reads only left budget unspent. All ranks may now use 0.4 of it for such repeats; the rest stays for the calls that repeats make. Ruled out: a larger part than 0.4; calls of repeats count where they are made and cannot be refused there.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -7,6 +7,7 @@
 use tokio::time::timeout;
 use uuid::Uuid;
 
+use crate::retry::RetryCause;
 use crate::routes::{RepeatKind, RouteBook, RouteEntry, RouteKey};
 use crate::routing::{LoadReport, RouteChoice, RouteDecision, RouteRequest, SendResult, TargetKey};
 use crate::types::{
@@ -17,7 +18,7 @@
 use super::entry::EntryRequest;
 use super::gate::CancelVerdict;
 use super::hop::{HopRequest, strip_connection_headers};
-use super::state::{GatewayState, RetryCause, lock};
+use super::state::{GatewayState, lock};
 
 /// Nodes that may refuse a request before its client is told to come back; each costs a round trip.
 const MAX_REFUSALS: usize = 4;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,7 +17,7 @@
 use crate::control_client::ControlClient;
 use crate::directory::HeldDirectory;
 use crate::generated::RouteSet;
-use crate::retry::{RetryBudget, RetrySettings};
+use crate::retry::{RetryBudget, RetryCause, RetrySettings};
 use crate::routes::RouteBook;
 use crate::routing::{RoutingSettings, TargetTable};
 use crate::types::{NodeId, ServiceName, TickTime};
@@ -41,12 +41,6 @@
 /// Share of the permitted retries that nodes spend. The rest covers calls of repeated requests, and nodes whose busiest
 /// windows lie apart.
 const BUDGET_PART: f64 = 0.8;
-/// Part of the budget that repeats of requests that ran may use. They repeat their calls too, which counts at the services
-/// that are called and cannot be refused there.
-const RERUN_PART: f64 = 0.4;
-/// Parts of the budget that requests of the second and of lower ranks may use.
-const SECOND_BUDGET_PART: f64 = 0.8;
-const LAST_BUDGET_PART: f64 = 0.4;
 
 /// Part of the memory that bodies in flight may take: a quarter. A body is copied where it is joined and sent on, and
 /// connections need the rest.
@@ -57,15 +51,6 @@
 /// Routes come with the first heartbeat, some ten milliseconds after the start.
 const CONFIRM_POLL: Duration = Duration::from_millis(20);
 
-/// Why a request is sent to another target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum RetryCause {
-    /// The target refused it without running it.
-    Refused,
-    /// The target ran it and failed, or may have run it.
-    MayHaveRun,
-}
-
 /// State of a running gateway.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -207,22 +192,9 @@
     }
 
     /// Counts a retry if the share of this node in the budget of all nodes allows it.
-    ///
-    /// Less urgent requests may use only a part of the budget, so that it is not spent when an urgent one needs it.
     pub(super) fn try_retry(&self, service: &ServiceName, urgency: u32, cause: RetryCause) -> bool {
         let now = self.now();
-        let by_urgency = match urgency {
-            0 => 1.0,
-            1 => SECOND_BUDGET_PART,
-            _ => LAST_BUDGET_PART,
-        };
-        let part = match cause {
-            RetryCause::Refused => by_urgency,
-            RetryCause::MayHaveRun => by_urgency * RERUN_PART,
-        };
-        self.with_budget(service, |budget| {
-            budget.try_retry_within(now, urgency, part)
-        })
+        self.with_budget(service, |budget| budget.try_retry_for(now, urgency, cause))
     }
 
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -9,7 +9,7 @@
 mod settings;
 
 pub use allowance::AttemptAllowance;
-pub use budget::RetryBudget;
+pub use budget::{RetryBudget, RetryCause};
 pub use cancelled::CancelTable;
 pub use hand_over::{HandOverRecord, HandOverVerdict};
 pub use policy::{AttemptReport, RetryDecision, RetryPolicy};
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -18,6 +18,22 @@
 /// cost what more urgent ones will need.
 const PACED_PART: f64 = 0.1;
 
+/// Parts of the budget that retries of refused requests of the second and of lower ranks may use.
+const SECOND_BUDGET_PART: f64 = 0.8;
+const LAST_BUDGET_PART: f64 = 0.4;
+/// Part of the budget that repeats of requests that ran may use, whatever their rank. They repeat their calls too, which
+/// counts at the services that are called and cannot be refused there.
+const RERUN_PART: f64 = 0.4;
+
+/// Why a request is sent to another target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryCause {
+    /// The target refused it without running it.
+    Refused,
+    /// The target ran it and failed, or may have run it.
+    MayHaveRun,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct CountBucket {
     start: TickTime,
@@ -75,6 +91,18 @@
         self.try_retry_within(now, 0, 1.0)
     }
 
+    /// Counts a retry for a cause and returns true if it stays within the part of the budget for such retries. Less urgent
+    /// requests may use less of it, so that it is not spent when an urgent one needs it.
+    pub fn try_retry_for(&mut self, now: TickTime, rank: u32, cause: RetryCause) -> bool {
+        let part = match (cause, rank) {
+            (RetryCause::MayHaveRun, _) => RERUN_PART,
+            (RetryCause::Refused, 0) => 1.0,
+            (RetryCause::Refused, 1) => SECOND_BUDGET_PART,
+            (RetryCause::Refused, _) => LAST_BUDGET_PART,
+        };
+        self.try_retry_within(now, rank, part)
+    }
+
     /// Counts a retry of a request of a rank, 0 being the most urgent, and returns true if it stays within a part of the
     /// budget and leaves what more urgent requests are expected to ask for. While a target turns requests away, a chain
     /// of calls only succeeds if each of its calls does; retries spread over all chains would complete none.
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -4,7 +4,7 @@
 
 use ebonyjunction::retry::{
     AttemptAllowance, AttemptReport, CancelTable, HandOverRecord, HandOverVerdict, ResendDecision,
-    ResendTable, RetryBudget, RetryDecision, RetryPolicy, RetrySettings,
+    ResendTable, RetryBudget, RetryCause, RetryDecision, RetryPolicy, RetrySettings,
 };
 use ebonyjunction::types::{
     AttemptId, AttemptOutcome, CallerName, RefusalReason, RequestId, TickTime,
@@ -416,3 +416,50 @@
     let payments = (0..2_000).filter(|_| budget.try_retry_within(at(10_001), 0, 1.0));
     assert!(payments.count() >= 1_700);
 }
+
+// Targets that run requests and lose some answers: guards against reads that fail although most of the budget is unspent.
+#[test]
+fn try_retry_for_lost_answers() {
+    const LOST_PART: usize = 17;
+    let settings = RetrySettings {
+        retry_ratio: 0.16,
+        min_retries_per_s: 0.0,
+        window: Duration::from_secs(10),
+        counts_earlier_windows: true,
+        ..RetrySettings::default()
+    };
+    let mut budget = RetryBudget::new(settings);
+    (0..10_000)
+        .step_by(10)
+        .for_each(|millis| budget.record_first(at(millis)));
+    let mut wanted = 0;
+    let mut allowed = 0;
+    for (number, millis) in (10_000..18_000).step_by(10).enumerate() {
+        budget.record_first(at(millis));
+        if number % LOST_PART == 0 {
+            wanted += 1;
+            allowed += u32::from(budget.try_retry_for(at(millis), 2, RetryCause::MayHaveRun));
+        }
+    }
+    assert_eq!(allowed, wanted);
+}
+
+// The same: guards against repeats that leave nothing for the repeats of the calls that they make.
+#[test]
+fn try_retry_for_bounds_repeats() {
+    let settings = RetrySettings {
+        retry_ratio: 0.2,
+        min_retries_per_s: 0.0,
+        window: Duration::from_secs(10),
+        ..RetrySettings::default()
+    };
+    let mut budget = RetryBudget::new(settings);
+    (0..1_000).for_each(|millis| budget.record_first(at(millis * 10)));
+    for rank in [0, 2] {
+        (0..1_000).for_each(|millis| {
+            budget.try_retry_for(at(9_000 + millis), rank, RetryCause::MayHaveRun);
+        });
+    }
+    let refused = (0..1_000).filter(|_| budget.try_retry_for(at(10_000), 0, RetryCause::Refused));
+    assert!(refused.count() >= 100, "half of 200 is left");
+}
