Begin the test of idle connections when its own node holds the plans

The test starts a node of its own and waited until another one served, so its node might not have got the plans yet and rightly refused. It now waits for an answer that only a node with plans gives and that does not reach the target; the checks are the same. Ruled out: the bounds on interim answers in the same client; the requests never left the node, as their reason says.

--- a/tests/node_stop.rs
+++ b/tests/node_stop.rs
@@ -153,7 +153,12 @@
     let body = body.to_string().into_bytes();
     let announced = call(node.local, Method::PUT, path, &[], body).await;
     assert!(announced.unwrap().status.is_success());
-    mesh.wait_ready(&mesh.entry).await;
+    // A grant that is missing is only told by a node that holds the plans; no request reaches the target.
+    poll("the plans", async || {
+        let answer = get(node.entry, "/stock/a", &[RESELLER]).await;
+        (answer.verdict() == "403 not-run not-granted").then_some(())
+    })
+    .await;
     let send = async || {
         let attempt = uuid::Uuid::new_v4().to_string();
         let headers = mesh_headers(&attempt);
