Check refusals of a stopping node from the moment at which it stops

The test sent requests right after the signal and judged the first that was not served; one that the node had taken before it handled the signal ran until its own deadline of two seconds, which is right. The test now waits for the line of the phase, and the very first request after it must be refused; before, any number could be served first.

--- a/tests/node_stop.rs
+++ b/tests/node_stop.rs
@@ -32,12 +32,14 @@
     wait_count(&mesh.target, "in_flight", 1).await;
     let start = Instant::now();
     mesh.node.process.signal("TERM");
-    let refused = poll("a refusal", async || {
-        let attempt = uuid::Uuid::new_v4().to_string();
-        let answer = get(mesh.node.mesh, "/orders/new", &mesh_headers(&attempt)).await;
-        (answer.status != 200).then_some(answer)
+    // A request that arrives before the signal is handled is still taken, and may end at its own deadline.
+    poll("the stop", async || {
+        let is_draining = mesh.node.process.has_line(&["event=phase", "to=Draining"]);
+        is_draining.then_some(())
     })
     .await;
+    let attempt = uuid::Uuid::new_v4().to_string();
+    let refused = get(mesh.node.mesh, "/orders/new", &mesh_headers(&attempt)).await;
     assert_eq!(refused.verdict(), "503 not-run target-leaving");
     assert_eq!(refused.header("ebj-leaving"), "1");
     let answer = get(mesh.node.entry, "/orders/new", &[RESELLER]).await;
