Elect a leader without waiting when all replicas start together

Change: replies to vote requests state whether the replica knows a leader. When all other members state within one vote count that they know none, the wait guards nothing: pre-votes of replicas that have just started count, and a replica that has just started votes. Learners are asked too, since a leader may be known to the candidate as a learner only. Statements carry the round of the count, so that none of an earlier count is used. A member that does not answer leaves the wait as it was; replicas of an older version state nothing.

Ruled out: serving routes of the own log before a leader confirms them, since a change acknowledged on the other replicas would be missed.

--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -1,11 +1,11 @@
 //! State of one replica and the dispatch of its events.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::election::VoteCount;
 use super::join::JoinState;
 use super::leader::LeaderState;
 use super::membership_history::MembershipHistory;
@@ -41,7 +41,9 @@
     /// Time of the latest message from the current leader. The start of the replica counts as one, because the
     /// replica may have confirmed a leader just before it stopped.
     pub(super) leader_contact: Option<TickTime>,
-    pub(super) granted_votes: BTreeSet<u64>,
+    /// Whether a leader has sent a message since the start.
+    pub(super) has_heard_leader: bool,
+    pub(super) votes: VoteCount,
     pub(super) leader_state: Option<LeaderState>,
     pub(super) held_replies: Vec<HeldReply>,
     pub(super) incoming: Option<IncomingSnapshot>,
@@ -84,14 +86,15 @@
             join: JoinState::new(membership, now),
             election_deadline: now,
             leader_contact: Some(now),
-            granted_votes: BTreeSet::new(),
+            has_heard_leader: false,
+            votes: VoteCount::default(),
             leader_state: None,
             held_replies: Vec::new(),
             incoming: None,
             actions: restore.into_iter().collect(),
         };
         core.refresh_role();
-        core.reset_election_deadline(now);
+        core.set_start_deadline(now);
         Ok(core)
     }
 
@@ -248,6 +251,17 @@
         self.election_deadline = now + self.rng.random_range(shortest..=longest);
     }
 
+    /// Schedules the next pre-vote of a replica that has just started. It is soon, because all replicas may have started
+    /// together; a running leader is not disturbed, because the replicas that hear from it refuse.
+    pub(super) fn set_start_deadline(&mut self, now: TickTime) {
+        let interval = self.settings.heartbeat_interval;
+        self.election_deadline = now + self.rng.random_range(interval / 2..=interval * 3 / 2);
+    }
+
+    pub(super) fn next_vote_round(&mut self) -> u64 {
+        self.rng.random()
+    }
+
     /// Ends any candidacy or leadership and moves to `term`, which is synced before anything else changes.
     pub(super) fn become_follower(&mut self, now: TickTime, term: u64) -> Result<()> {
         if term > self.term() {
@@ -264,7 +278,7 @@
                 .extend(proposal_tokens.map(|token| ReplicaAction::RejectProposal { token }));
             self.reset_election_deadline(now);
         }
-        self.granted_votes.clear();
+        self.votes = VoteCount::default();
         self.role = self.passive_role();
         Ok(())
     }
--- a/src/consensus/replication.rs
+++ b/src/consensus/replication.rs
@@ -56,6 +56,7 @@
         self.become_follower(now, term)?;
         self.leader_id = Some(leader_id);
         self.leader_contact = Some(now);
+        self.has_heard_leader = true;
         self.reset_election_deadline(now);
         Ok(())
     }
--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -58,7 +58,11 @@
 }
 
 fn replica_with(settings: ReplicaSettings) -> ReplicaCore {
-    let mut store = MemoryStore::new([1; 16]);
+    replica_on(1, settings)
+}
+
+fn replica_on(id: u8, settings: ReplicaSettings) -> ReplicaCore {
+    let mut store = MemoryStore::new([id; 16]);
     let first = Command {
         change: Some(Change::Membership(membership())),
     };
@@ -71,7 +75,7 @@
             vote: None,
         })
         .unwrap();
-    ReplicaCore::new(settings, info(1), Box::new(store), membership(), at(0), 7).unwrap()
+    ReplicaCore::new(settings, info(id), Box::new(store), membership(), at(0), 7).unwrap()
 }
 
 fn deliver(core: &mut ReplicaCore, now: u64, from: u8, message: PeerMessage) -> Vec<PeerMessage> {
@@ -96,6 +100,7 @@
     let reply = VoteReply {
         term,
         granted: true,
+        ..VoteReply::default()
     };
     deliver(core, now, 2, PeerMessage::VoteReply(reply, is_pre_vote))
 }
@@ -145,6 +150,7 @@
         last_term: 3,
         pre_vote,
         receiver_disk_id: disk(1),
+        ..VoteRequest::default()
     })
 }
 
@@ -259,6 +265,112 @@
     }
 }
 
+/// Creates three replicas that have just started on the same log, with the times of their starts.
+fn group_started_at(starts: [u64; 3]) -> Vec<(u64, ReplicaCore)> {
+    let members = starts.into_iter().zip(1..);
+    members
+        .map(|(start, id)| (start, replica_on(id, ReplicaSettings::default())))
+        .collect()
+}
+
+/// Ticks the group every 15 ms, with 10 ms for each message, and returns the time at which a replica leads. Replicas that
+/// are not up yet neither send nor receive.
+fn time_to_leader(group: &mut [(u64, ReplicaCore)], until: u64) -> Option<u64> {
+    const MESSAGE_TIME: u64 = 10;
+    let mut in_flight: Vec<(u64, u64, u64, PeerMessage)> = Vec::new();
+    for now in 0..until {
+        for (start, core) in group.iter_mut().filter(|(start, _)| *start <= now) {
+            let from = core.own().replica_id;
+            let own_time = at(now - *start);
+            let mut actions = Vec::new();
+            let due = in_flight.extract_if(.., |(due, _, to, _)| *due <= now && *to == from);
+            for (_, from, _, message) in due {
+                let event = ReplicaEvent::Message { from, message };
+                actions.extend(core.step(own_time, event).unwrap());
+            }
+            if (now - *start) % 15 == 0 {
+                actions.extend(core.step(own_time, ReplicaEvent::Tick).unwrap());
+            }
+            if core.role() == ReplicaRole::Leader {
+                return Some(now);
+            }
+            for action in actions {
+                if let ReplicaAction::Send { to, message } = action {
+                    in_flight.push((now + MESSAGE_TIME, from, to.replica_id, message));
+                }
+            }
+        }
+    }
+    None
+}
+
+/// Return after a power loss of all machines: guards against callers that are refused while replicas that all have just
+/// started wait for a leader that cannot be there.
+#[test]
+fn start_together_elects_without_wait() {
+    let mut group = group_started_at([0, 40, 90]);
+    let elected_at = time_to_leader(&mut group, 1_000);
+    assert!(elected_at.is_some_and(|at| at < 300), "{elected_at:?}");
+}
+
+/// Guards against an election without the wait while one member could still be the leader: replica 3 does not answer.
+#[test]
+fn start_beside_silent_member_waits() {
+    let mut group = group_started_at([0, 40, u64::MAX]);
+    let elected_at = time_to_leader(&mut group, 2_000);
+    assert!(elected_at.is_some_and(|at| at >= 300), "{elected_at:?}");
+}
+
+/// Guards against a statement that is counted although it answers an earlier request, or although the replica knows a
+/// leader.
+#[test]
+fn start_election_needs_current_statements() {
+    let pre_vote_round = |messages: &[PeerMessage]| {
+        let round = messages.iter().find_map(|message| match message {
+            PeerMessage::Vote(request) if request.pre_vote => Some(request.round),
+            _ => None,
+        });
+        round.expect("a pre-vote was requested")
+    };
+    let mut core = replica();
+    let round = pre_vote_round(&tick(&mut core, 120));
+    let statement = |round, leader_absent| {
+        let reply = VoteReply {
+            term: 3,
+            round,
+            leader_absent,
+            conditional: true,
+            ..VoteReply::default()
+        };
+        PeerMessage::VoteReply(reply, true)
+    };
+    deliver(&mut core, 130, 2, statement(round, true));
+    deliver(&mut core, 130, 3, statement(round, false));
+    assert_eq!(core.role(), ReplicaRole::PreCandidate, "3 knows a leader");
+    deliver(&mut core, 130, 3, statement(round ^ 1, true));
+    assert_eq!(core.role(), ReplicaRole::PreCandidate, "an earlier request");
+    deliver(&mut core, 130, 3, statement(round, true));
+    assert_eq!(core.role(), ReplicaRole::Candidate);
+}
+
+/// Guards against a vote right after the start that no statement of the members supports.
+#[test]
+fn vote_after_start_needs_statements() {
+    let ask = |leader_absent| {
+        let PeerMessage::Vote(request) = vote_request(4, false) else {
+            unreachable!()
+        };
+        let request = VoteRequest {
+            leader_absent,
+            ..request
+        };
+        let mut core = replica();
+        is_granted(&deliver(&mut core, 100, 3, PeerMessage::Vote(request)))
+    };
+    assert!(!ask(false));
+    assert!(ask(true));
+}
+
 /// Guards against a leader that continues to act as leader after it lost its quorum.
 #[test]
 fn leader_without_quorum_steps_down() {
