Let one candidate win after a common start

Change: a replica that supports the pre-vote of another after a common start postpones its own; if it has already begun one, it withdraws unless its id is lower.

--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -174,6 +174,9 @@
         };
         let conditional = is_supported && is_waiting && request.pre_vote;
         let granted = is_supported && !conditional;
+        if conditional {
+            self.defer_to(now, candidate.replica_id)?;
+        }
         let reply = VoteReply {
             term: if granted { request.term } else { self.term() },
             granted,
@@ -185,6 +188,19 @@
         Ok(())
     }
 
+    /// Leaves the election after a common start to a candidate whose log is up to date. Of several candidates that began at
+    /// the same time, all but the one of the lowest id withdraw, since votes split between them would elect none.
+    fn defer_to(&mut self, now: TickTime, candidate: u64) -> Result<()> {
+        if self.role == ReplicaRole::PreCandidate && self.own.replica_id < candidate {
+            return Ok(());
+        }
+        if self.role == ReplicaRole::PreCandidate {
+            self.become_follower(now, self.term())?;
+        }
+        self.set_start_deadline(now);
+        Ok(())
+    }
+
     /// Grants a vote if this replica has not voted for another candidate and the candidate's log is up to date.
     ///
     /// Term and vote are synced before it returns.
--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -313,6 +313,15 @@
     assert!(elected_at.is_some_and(|at| at < 300), "{elected_at:?}");
 }
 
+/// Guards against votes that are split between replicas that all begin their pre-vote at the same time after a common
+/// start: the next attempt would follow only after an election timeout.
+#[test]
+fn start_together_does_not_split_votes() {
+    let mut group = group_started_at([0, 0, 0]);
+    let elected_at = time_to_leader(&mut group, 1_000);
+    assert!(elected_at.is_some_and(|at| at < 300), "{elected_at:?}");
+}
+
 /// Guards against an election without the wait while one member could still be the leader: replica 3 does not answer.
 #[test]
 fn start_beside_silent_member_waits() {
