--- a/src/command.rs
+++ b/src/command.rs
@@ -5,6 +5,7 @@
 mod change_folder;
 mod explain;
 mod lists;
+mod losses;
 mod status;
 mod table;
 
@@ -60,6 +61,7 @@
             return print(concat!("ebonyjunction ", env!("CARGO_PKG_VERSION"), "\n"));
         }
         Action::Check(files) => return lists::check(files),
+        Action::Losses(options) => return losses::losses(options),
         _ => {}
     }
     let Some(path) = &line.settings else {
@@ -81,7 +83,7 @@
         Action::Show => lists::show(&client, &config).await,
         Action::Status => status::show(&client).await,
         Action::Explain(request_id) => explain::explain(&client, &config, request_id).await,
-        Action::Help | Action::Version | Action::Check(_) => Ok(Outcome::Done),
+        Action::Help | Action::Version | Action::Check(_) | Action::Losses(_) => Ok(Outcome::Done),
     }
 }
 
--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -8,6 +8,8 @@
 use crate::error::{MeshError, Result};
 use crate::types::RequestId;
 
+use super::losses::LossOptions;
+
 pub(super) const HELP: &str = "\
 Edits the lists of plans and grants and shows the state of the mesh.
 
@@ -20,11 +22,14 @@
   plans show                                print the lists in force
   status                                    print replicas and nodes
   explain REQUEST-ID                        print the decisions made for a request
+  losses FILE...                            print where requests were lost, from the log lines of
+                                            nodes and replicas; - reads standard input
 
 Options:
   --settings FILE   settings of the operator (TOML)
   --base VERSION    version that the edit was made from; by default the version that this
                     operator last saw with plans show, diff or apply, else the one in force
+  --svg FILE        after losses: also draw the outcomes over time
   --wait            after apply: wait until all nodes have the version, at most 30 s
   --help            print this text
   --version         print the version
@@ -56,6 +61,7 @@
     Show,
     Status,
     Explain(RequestId),
+    Losses(LossOptions),
 }
 
 #[derive(Debug)]
@@ -79,6 +85,7 @@
         let base_version = parser
             .opt_value_from_str("--base")
             .map_err(|e| parser_error(&e))?;
+        let chart = path_option(&mut parser, "--svg")?;
         let is_waiting = parser.contains("--wait");
         let words = positional_arguments(parser)?;
         let words: Vec<&str> = words.iter().map(String::as_str).collect();
@@ -92,6 +99,11 @@
                 is_waiting,
             }),
             _ if has_files => return Err(usage_error("this action takes no list files")),
+            ["losses"] => return Err(usage_error("losses needs at least one file, or -")),
+            ["losses", files @ ..] => Action::Losses(LossOptions {
+                files: files.iter().map(PathBuf::from).collect(),
+                chart: chart.clone(),
+            }),
             ["plans", "show"] => Action::Show,
             ["status"] => Action::Status,
             ["explain", request_id] => Action::Explain(parse_request_id(request_id)?),
@@ -106,6 +118,9 @@
         if !matches!(action, Action::Apply(_)) && (is_waiting || base_version.is_some()) {
             return Err(usage_error("--wait and --base belong to plans apply"));
         }
+        if chart.is_some() && !matches!(action, Action::Losses(_)) {
+            return Err(usage_error("--svg belongs to losses"));
+        }
         Ok(Self { settings, action })
     }
 
@@ -129,7 +144,7 @@
     let mut words = Vec::new();
     for word in parser.finish() {
         let word = word.to_string_lossy().into_owned();
-        if word.starts_with('-') {
+        if word.starts_with('-') && word != "-" {
             return Err(usage_error(&format!("unknown option {word}; see --help")));
         }
         words.push(word);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod gateway;
 pub mod generated;
 mod hop_headers;
+mod losses;
 pub mod node;
 pub mod plans;
 pub mod proxy;
