Wait for the accept loop during a planned stop

Cause: a stopping gateway waits for its open connections, but the loop that accepts clients was not tracked. Ruled out: the kernel's backlog alone, since a single caller without load meets it.

Change: the accept loop is tracked. Right before the listener closes, connections that the kernel has completed are accepted too. A connection closed during a stop because no request came is logged.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -71,6 +71,26 @@
         let connection = ClientConnection::new(&state, stream);
         state.tasks.spawn(connection.run());
     }
+    if let Err(error) = accept_remaining(&state, listener) {
+        log::warn!("event=accept_failed listener=client error={error:?}");
+    }
+}
+
+/// Accepts the connections that the kernel has completed but the runtime has not reported yet, right before the listener
+/// closes.
+fn accept_remaining(state: &Arc<GatewayState>, listener: TcpListener) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                let connection = ClientConnection::new(state, TcpStream::from_std(stream)?);
+                state.tasks.spawn(connection.run());
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -169,7 +189,13 @@
                     self.request_began_at = self.last_activity_at;
                     self.start_requests().await?;
                 }
-                ConnectionEvent::Idle => return self.close_idle().await,
+                ConnectionEvent::Idle => {
+                    if self.ends_after_next && self.awaits_first_request {
+                        let waited_ms = self.last_activity_at.elapsed().as_millis();
+                        log::info!("event=closed_without_request waited_ms={waited_ms}");
+                    }
+                    return self.close_idle().await;
+                }
                 ConnectionEvent::Closing => {
                     self.ends_after_next = true;
                     // A connection that was just accepted may still deliver its first request.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -52,7 +52,10 @@
         state.config.zone
     );
     for listener in listeners {
-        tokio::spawn(serve_clients(Arc::clone(&state), listener));
+        // Tracked, so that the process does not end between two connections while it still accepts.
+        state
+            .tasks
+            .spawn(serve_clients(Arc::clone(&state), listener));
     }
     tokio::spawn(serve_peers(Arc::clone(&state), peers));
     tokio::spawn(run_sync(Arc::clone(&state)));
