Refuse chains at their entry that a called service would refuse

Cause: while the deepest service is short of slots, every queue prefers the same chains, so those beyond some rank fail halfway.

Change: the node beside a target that makes calls learns the position (urgency, rank) beyond which calls are refused for good; the limit travels with answers up the call graph, and an entry refuses requests beyond the last report on their route at once, not run, with a time to return spread over half of the objective. The limit falls with the fraction of refused calls and ends within a second; a report rises with the square of its age.

Ruled out: a slower rise of 0.2 classes a second until half a second passed without any refused call.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -3,6 +3,7 @@
 //! [`AdmissionControl`] decides which work runs, waits or is refused. It does not read a clock; callers pass the current
 //! time.
 
+mod chain_limit;
 mod cohort;
 mod control;
 mod level;
@@ -15,6 +16,7 @@
 mod slot_queue;
 mod work;
 
+pub use chain_limit::{ChainLimit, ChainPosition, ReportedLimit};
 pub use control::AdmissionControl;
 pub use settings::AdmissionSettings;
 pub use slot_queue::{SlotAction, SlotDecision, SlotQueue, SlotRequest, WaitKey};
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -6,6 +6,7 @@
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
+use crate::admission::ChainPosition;
 use crate::types::RefusalReason;
 
 /// Complete answer to one request.
@@ -49,6 +50,8 @@
         answer: Answer,
         /// Whether the target failed because one of its calls was refused.
         is_downstream_failure: bool,
+        /// Position beyond which chains of such requests are refused further down, if they are.
+        chain_limit: Option<ChainPosition>,
         /// Expected time until the target has a free slot.
         wait: Duration,
     },
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -92,10 +92,13 @@
     if exchange.is_repeat() {
         state.record_upstream_retry(exchange.service());
     }
-    let answer = exchange.run().await;
-    if exchange.is_nested() && exchange.is_refused_call(&answer) {
-        state.gate.parents().record_refused_call(&id);
+    if let Some(limit) = exchange.exceeded_limit() {
+        let answer = exchange.refuse_chain(limit);
+        exchange.log_answer(&answer);
+        return answer;
     }
+    let answer = exchange.run().await;
+    exchange.record_call_outcome(&answer);
     exchange.log_answer(&answer);
     answer
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,9 +4,11 @@
 
 use http::header::{HOST, HeaderValue};
 use http::{HeaderMap, StatusCode};
+use rand::Rng;
 use tokio::time::timeout;
 use uuid::Uuid;
 
+use crate::admission::{ChainPosition, ReportedLimit};
 use crate::retry::RetryCause;
 use crate::routes::{RepeatKind, RouteBook, RouteEntry, RouteKey};
 use crate::routing::{LoadReport, RouteChoice, RouteDecision, RouteRequest, SendResult, TargetKey};
@@ -15,9 +17,11 @@
 };
 
 use super::answer::{Answer, AttemptResult};
+use super::chain_limits::tighter;
 use super::entry::EntryRequest;
 use super::gate::CancelOutcome;
 use super::hop::{HopRequest, strip_connection_headers};
+use super::parents::chain_rank;
 use super::state::{GatewayState, lock};
 
 /// Number of excluded targets at which a refusal by a node ends the search and is returned to the client. Targets that
@@ -34,6 +38,8 @@
 /// Fraction of the latency objective after which a failed request is not sent again. The repeat would be late and would
 /// take capacity from other requests.
 const MAX_REPEAT_AGE_FRACTION: f64 = 0.4;
+/// Mean retry delay of a request whose chain would not complete, as a fraction of its latency objective.
+const CHAIN_RETRY_FRACTION: f64 = 0.5;
 /// Lower bound of the retry delay. A client that retries sooner would usually find the same queue.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -55,6 +61,8 @@
     target_refusals: usize,
     /// The last answer failed because a downstream call was refused.
     is_downstream_failure: bool,
+    /// Limit on chains that came with the last answer.
+    chain_limit: Option<ChainPosition>,
     attempts: u32,
     refusals: u32,
 }
@@ -122,6 +130,7 @@
             refusing_targets: Vec::new(),
             target_refusals: 0,
             is_downstream_failure: false,
+            chain_limit: None,
             attempts: 0,
             refusals: 0,
         }
@@ -213,8 +222,10 @@
             AttemptResult::Ran {
                 answer,
                 is_downstream_failure,
+                chain_limit,
                 wait,
             } => {
+                self.record_limit(chain_limit);
                 self.excluded.push(choice.key);
                 self.is_downstream_failure = is_downstream_failure;
                 let is_failure = answer.status.is_server_error();
@@ -364,14 +375,63 @@
         refusal(self.state, reason, wait)
     }
 
-    /// Returns whether the request or one of its downstream calls was refused. Running the parent again would not help.
-    pub(super) fn is_refused_call(&self, answer: &Answer) -> bool {
-        answer.status == StatusCode::SERVICE_UNAVAILABLE || self.is_downstream_failure
+    /// Returns the limit that the request's chain exceeds, if it is not likely to complete. Only requests that begin a chain
+    /// are judged.
+    pub(super) fn exceeded_limit(&self) -> Option<ReportedLimit> {
+        if self.hop.is_nested {
+            return None;
+        }
+        let limits = &self.state.chain_limits;
+        limits.exceeded(self.state.now(), &self.route.name, self.position())
+    }
+
+    /// Refuses a request whose chain is not likely to complete. The client may return while its answer can still be in
+    /// time, spread over half of the objective so that refused clients do not return together.
+    pub(super) fn refuse_chain(&self, limit: ReportedLimit) -> Answer {
+        self.state.metrics.count("refused.chain_limit");
+        log::info!(
+            "event=chain_refused request_id={} route={} position={} limit={} limit_age_ms={}",
+            self.id,
+            self.route.name,
+            self.position(),
+            limit.position(),
+            limit.age(self.state.now()).as_millis()
+        );
+        let mean_wait = self.route.objective.mul_f64(CHAIN_RETRY_FRACTION);
+        let factor = lock(&self.state.rng).random_range(0.5..1.5);
+        let wait = mean_wait.mul_f64(factor).max(MIN_RETRY_AFTER);
+        let reason = RefusalReason::AdmissionLevel.as_str();
+        Answer::own(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_after(wait)
+    }
+
+    /// Records the limit that came with an answer. That of a client request holds for later ones on its route.
+    fn record_limit(&mut self, limit: Option<ChainPosition>) {
+        self.chain_limit = limit;
+        if !self.hop.is_nested {
+            let limits = &self.state.chain_limits;
+            limits.report(self.state.now(), &self.route.name, limit);
+        }
+    }
+
+    /// Passes the outcome of a call on to its parent. Client requests have none.
+    pub(super) fn record_call_outcome(&self, answer: &Answer) {
+        if !self.hop.is_nested {
+            return;
+        }
+        let now = self.state.now();
+        let limits = &self.state.chain_limits;
+        let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        let learnt = limits.record_call(now, &self.hop.service, self.position(), is_refused);
+        let limit = tighter(learnt, self.chain_limit);
+        let is_refused = is_refused || self.is_downstream_failure;
+        self.state
+            .gate
+            .parents()
+            .record_call(&self.id, limit, is_refused);
     }
 
-    /// Returns whether the request is a call made by a request that is running at the local target.
-    pub(super) fn is_nested(&self) -> bool {
-        self.hop.is_nested
+    fn position(&self) -> ChainPosition {
+        ChainPosition::new(self.hop.urgency, chain_rank(&self.hop.request_id))
     }
 
     pub(super) fn is_repeat(&self) -> bool {
@@ -407,7 +467,7 @@
             _ => "answer.failure",
         });
         log::info!(
-            "event=answered request_id={} route={} version={} nested={} status={} attempts={} refusals={} span_ms={}",
+            "event=answered request_id={} route={} version={} nested={} status={} attempts={} refusals={} span_ms={} objective_ms={}",
             self.id,
             self.route.name,
             self.version,
@@ -415,7 +475,8 @@
             answer.status.as_u16(),
             self.attempts,
             self.refusals,
-            (self.state.now() - self.arrived_at).as_millis()
+            (self.state.now() - self.arrived_at).as_millis(),
+            self.route.objective.as_millis()
         );
     }
 }
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -312,10 +312,12 @@
         if let AttemptResult::Ran {
             answer,
             is_downstream_failure,
+            chain_limit,
             wait,
         } = &mut result
         {
             *is_downstream_failure = answer.status.is_server_error() && parent.has_refused_call();
+            *chain_limit = parent.chain_limit();
             slot.service_time = Some(self.now() - started);
             *wait = lock(&self.state).queue.expected_wait(request.is_nested);
         }
--- a/src/gateway/hop.rs
+++ b/src/gateway/hop.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use uuid::Uuid;
 
+use crate::admission::ChainPosition;
 use crate::error::{MeshError, Result};
 use crate::hop_headers::strip_hop_headers;
 use crate::types::{AttemptId, RefusalReason, ServiceName};
@@ -28,6 +29,7 @@
 const OUTCOME: HeaderName = HeaderName::from_static("ebj-outcome");
 const REASON: HeaderName = HeaderName::from_static("ebj-reason");
 const CAUSE: HeaderName = HeaderName::from_static("ebj-cause");
+const CHAIN_LIMIT: HeaderName = HeaderName::from_static("ebj-chain-limit");
 const WAIT_MS: HeaderName = HeaderName::from_static("ebj-wait-ms");
 const DOWNSTREAM_CAUSE: HeaderValue = HeaderValue::from_static("downstream");
 const FLAG_NESTED: u8 = 1;
@@ -171,6 +173,19 @@
     parsed.map_err(|_| invalid("hop header", format!("{name} must be a number")))
 }
 
+fn read_chain_limit(headers: &HeaderMap) -> Option<ChainPosition> {
+    if !headers.contains_key(CHAIN_LIMIT) {
+        return None;
+    }
+    match header_number(headers, &CHAIN_LIMIT) {
+        Ok(parts) => Some(ChainPosition::from_parts(parts)),
+        Err(error) => {
+            log::warn!("event=chain_limit_malformed error={:?}", error.to_string());
+            None
+        }
+    }
+}
+
 fn invalid(field: &'static str, detail: impl Into<String>) -> MeshError {
     MeshError::invalid(field, detail)
 }
@@ -182,6 +197,7 @@
         AttemptResult::Ran {
             answer,
             is_downstream_failure,
+            chain_limit,
             wait,
         } => {
             *response.status_mut() = answer.status;
@@ -193,6 +209,9 @@
             if is_downstream_failure {
                 headers.insert(CAUSE, DOWNSTREAM_CAUSE);
             }
+            if let Some(limit) = chain_limit {
+                headers.insert(CHAIN_LIMIT, HeaderValue::from(limit.to_parts()));
+            }
             headers.insert(WAIT_MS, HeaderValue::from(wait.as_millis() as u64));
         }
         AttemptResult::NotRun { reason, wait } => {
@@ -220,6 +239,7 @@
             let mut headers = head.headers;
             let wait_ms = header_number(&headers, &WAIT_MS).unwrap_or_default();
             let is_downstream_failure = headers.get(CAUSE) == Some(&DOWNSTREAM_CAUSE);
+            let chain_limit = read_chain_limit(&headers);
             strip_connection_headers(&mut headers);
             AttemptResult::Ran {
                 answer: Answer {
@@ -228,6 +248,7 @@
                     body,
                 },
                 is_downstream_failure,
+                chain_limit,
                 wait: Duration::from_millis(wait_ms),
             }
         }
--- a/src/gateway/parents.rs
+++ b/src/gateway/parents.rs
@@ -5,8 +5,10 @@
 
 use http::header::HeaderValue;
 
+use crate::admission::ChainPosition;
 use crate::types::{ChainRank, TickTime};
 
+use super::chain_limits::tighter;
 use super::hop::HopRequest;
 use super::state::lock;
 
@@ -30,6 +32,8 @@
     pub(super) end_at: TickTime,
     /// Whether a call of the request was refused, here or further downstream.
     has_refused_call: bool,
+    /// Tightest limit that came with the answers to its calls.
+    chain_limit: Option<ChainPosition>,
 }
 
 /// Requests that are running at the local target, by request id.
@@ -47,6 +51,7 @@
             is_repeat: request.is_repeat,
             end_at,
             has_refused_call: false,
+            chain_limit: None,
         };
         lock(&self.running).insert(id.clone(), parent);
         RunningParent { table: self, id }
@@ -59,13 +64,20 @@
         lock(&self.running).get(parent_id).copied()
     }
 
-    /// Records that a call was refused. If its parent fails, running the parent again would only repeat all its calls.
-    pub(super) fn record_refused_call(&self, request_id: &str) {
+    /// Records the end of a call: the limit that came with its answer, and whether it was refused. If the parent of a
+    /// refused call fails, running the parent again would only repeat all its calls.
+    pub(super) fn record_call(
+        &self,
+        request_id: &str,
+        limit: Option<ChainPosition>,
+        is_refused: bool,
+    ) {
         let Some((parent_id, _)) = request_id.rsplit_once(ID_SEPARATOR) else {
             return;
         };
         if let Some(parent) = lock(&self.running).get_mut(parent_id) {
-            parent.has_refused_call = true;
+            parent.has_refused_call |= is_refused;
+            parent.chain_limit = tighter(parent.chain_limit, limit);
         }
     }
 }
@@ -80,10 +92,16 @@
 impl RunningParent<'_> {
     /// Returns whether a call of the request was refused.
     pub(super) fn has_refused_call(&self) -> bool {
-        let running = lock(&self.table.running);
-        running
-            .get(&self.id)
-            .is_some_and(|parent| parent.has_refused_call)
+        self.current().is_some_and(|parent| parent.has_refused_call)
+    }
+
+    /// Returns the tightest limit that came with the answers to the request's calls.
+    pub(super) fn chain_limit(&self) -> Option<ChainPosition> {
+        self.current().and_then(|parent| parent.chain_limit)
+    }
+
+    fn current(&self) -> Option<ParentRequest> {
+        lock(&self.table.running).get(&self.id).copied()
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use crate::types::{NodeId, ServiceName, TickTime};
 
 use super::announced_target::{ReportEffect, TargetReport};
+use super::chain_limits::ChainLimits;
 use super::config::GatewayConfig;
 use super::entry::PartCounters;
 use super::gate::TargetGate;
@@ -70,6 +71,7 @@
     pub(super) table: Mutex<TargetTable>,
     pub(super) position: Mutex<DirectoryPosition>,
     pub(super) budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
+    pub(super) chain_limits: ChainLimits,
     pub(super) counters: Mutex<PartCounters>,
     pub(super) rng: Mutex<SmallRng>,
     pub(super) announced: Notify,
@@ -113,6 +115,7 @@
             table: Mutex::new(table),
             position: Mutex::default(),
             budgets: Mutex::default(),
+            chain_limits: ChainLimits::default(),
             counters: Mutex::default(),
             rng: Mutex::new(SmallRng::from_rng(&mut rand::rng())),
             announced: Notify::new(),
--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -264,6 +264,7 @@
                 body,
             },
             is_downstream_failure: false,
+            chain_limit: None,
             wait: Duration::ZERO,
         }
     }
--- a/src/types/priority.rs
+++ b/src/types/priority.rs
@@ -104,4 +104,9 @@
     pub fn from_first_id(first_id: &[u8]) -> Self {
         Self(crc32fast::hash(first_id))
     }
+
+    /// Returns the rank as a fraction of the range of all ranks.
+    pub fn as_fraction(self) -> f64 {
+        f64::from(self.0) / (f64::from(u32::MAX) + 1.0)
+    }
 }
