--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -45,6 +45,7 @@
         let verdict = match case.as_str() {
             "long-request" => long_request(&record, has_trouble),
             "late-copy" => late_copy(&record, has_trouble),
+            "many-changes" => many_changes(&record, has_trouble),
             "stop-with-queue" => stop_with_queue(&record, has_trouble),
             "late-heartbeats" => late_heartbeats(&record, has_trouble),
             _ => Err(io::ErrorKind::InvalidInput.into()),
@@ -432,3 +433,176 @@
         )
     }))
 }
+
+/// The platform of a core: kills a process that uses more than its memory, and starts a process that ended again.
+struct Platform {
+    cores: Vec<Process>,
+    /// When a machine's process is started again, if it has ended.
+    restarts: Vec<Option<Instant>>,
+    kills: Vec<u32>,
+    peak_bytes: u64,
+}
+
+impl Platform {
+    const MEMORY_BYTES: u64 = 256 * 1024 * 1024;
+    const RESTART_DELAY: Duration = Duration::from_millis(500);
+    /// Kills of each machine that are written to the record one by one.
+    const NOTED_KILLS: u32 = 4;
+
+    fn new(cores: Vec<Process>) -> Self {
+        Self {
+            restarts: vec![None; cores.len()],
+            kills: vec![0; cores.len()],
+            cores,
+            peak_bytes: 0,
+        }
+    }
+
+    fn watch(&mut self, record: &Record) -> io::Result<()> {
+        for (index, core) in self.cores.iter_mut().enumerate() {
+            let ip = core.ip;
+            if let Some(at) = self.restarts[index] {
+                if Instant::now() >= at {
+                    self.restarts[index] = None;
+                    core.restart()?;
+                    if self.kills[index] <= Self::NOTED_KILLS {
+                        record.note(&format!("platform: {ip} is started again"));
+                    }
+                }
+                continue;
+            }
+            let bytes = core.memory_bytes().unwrap_or(0);
+            self.peak_bytes = self.peak_bytes.max(bytes);
+            if bytes > Self::MEMORY_BYTES {
+                core.kill();
+                self.kills[index] += 1;
+                if self.kills[index] <= Self::NOTED_KILLS {
+                    let megabytes = bytes / 1024 / 1024;
+                    record.note(&format!(
+                        "platform: {ip} uses {megabytes} MB of 256 MB and is killed"
+                    ));
+                }
+            } else if !core.has_ended() {
+                continue;
+            }
+            self.restarts[index] = Some(Instant::now() + Self::RESTART_DELAY);
+        }
+        Ok(())
+    }
+}
+
+/// A configuration with `count` routes; each version has another timeout.
+fn document(version: u64, count: usize) -> String {
+    let route = |index: usize| {
+        let (host, timeout) = (index % 40, 1_200 + version);
+        format!(
+            r#""r-{index:07}":{{"host":"host{host}.example","prefix":"/path{index:05}/","kind":"idempotent","timeout":"{timeout}ms","goal":"2000ms","priority":2,"service":"orders","attempts":2}}"#
+        )
+    };
+    let routes: Vec<String> = (0..count).map(route).collect();
+    format!(
+        r#"{{"version":"{version:08x}","routes":{{{}}},"services":{{"orders":{{"health_path":"/healthz","max_conns":316,"protocol":"h1","tls":false}}}},"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}}}"#,
+        routes.join(",")
+    )
+}
+
+/// The configuration grows by many routes; after that an operator makes some hundred changes, one after the other.
+fn many_changes(record: &Record, has_trouble: bool) -> Verdict {
+    const CORES: u8 = 5;
+    const CHANGES: u64 = 480;
+    const FIRST_ROUTES: usize = 20;
+    const MORE_ROUTES: usize = 1_400;
+    const CHANGING_FOR: Duration = Duration::from_secs(50);
+    const READING_FOR: Duration = Duration::from_secs(20);
+    const CALL_WAIT: Duration = Duration::from_millis(1_500);
+    let place = Place::new(CORES)?;
+    let cores = (1..=CORES)
+        .map(|host| place.start_core(host))
+        .collect::<io::Result<_>>()?;
+    let addresses: Vec<_> = (1..=CORES)
+        .map(|host| std::net::SocketAddr::new(place.ip(host), mesh::CONTROL_PORT))
+        .collect();
+    let platform = std::sync::Mutex::new(Platform::new(cores));
+    let is_over = std::sync::atomic::AtomicBool::new(false);
+    let order = std::sync::atomic::Ordering::SeqCst;
+    let acknowledged = thread::scope(|scope| {
+        scope.spawn(|| {
+            while !is_over.load(order) {
+                if let Err(error) = platform.lock().unwrap().watch(record) {
+                    record.note(&format!("platform: {error}"));
+                }
+                sleep(Duration::from_millis(50));
+            }
+        });
+        let started = Instant::now();
+        let mut acknowledged = 0;
+        let mut next_machine = 0;
+        for version in 1..=CHANGES {
+            let count = FIRST_ROUTES
+                + if has_trouble && version > 1 {
+                    MORE_ROUTES
+                } else {
+                    0
+                };
+            let body = document(version, count);
+            let base = format!("If-Match: {acknowledged:08x}\r\n");
+            // A call without a clear answer is sent again, to another machine.
+            while acknowledged < version && started.elapsed() < CHANGING_FOR {
+                let address = addresses[next_machine % addresses.len()];
+                let answer = mesh::call_for(address, "PUT", "/v1/config", &base, &body, CALL_WAIT);
+                match answer.map_or(0, |answer| answer.status()) {
+                    200 => acknowledged = version,
+                    400..500 => break,
+                    _ => {
+                        next_machine += 1;
+                        sleep(Duration::from_millis(100));
+                    }
+                }
+            }
+            if version % 20 == 0 && acknowledged == version {
+                let megabytes = platform.lock().unwrap().peak_bytes / 1024 / 1024;
+                record.note(&format!(
+                    "operator: version {version} with {count} routes is acknowledged; a core process uses up to {megabytes} MB"
+                ));
+            }
+            if acknowledged < version {
+                record.note(&format!(
+                    "operator: version {version} has no acknowledgement"
+                ));
+                break;
+            }
+        }
+        record.note(&format!(
+            "operator: reads back; version {acknowledged} was acknowledged last"
+        ));
+        let reading = Instant::now();
+        let mut found = None;
+        while found.is_none() && reading.elapsed() < READING_FOR {
+            next_machine += 1;
+            let address = addresses[next_machine % addresses.len()];
+            let answer = mesh::call_for(address, "GET", "/v1/config", "", "", CALL_WAIT);
+            found = answer
+                .ok()
+                .filter(|answer| answer.status() == 200)
+                .map(|answer| answer.body);
+            sleep(Duration::from_millis(100));
+        }
+        is_over.store(true, order);
+        (acknowledged, found)
+    });
+    let (acknowledged, found) = acknowledged;
+    let kills = platform.lock().unwrap().kills.clone();
+    record.note(&format!("platform: kills for memory by machine: {kills:?}"));
+    let Some(found) = found else {
+        return Ok(Some(format!(
+            "CONFIG: read back, the configuration doesn't come; version {acknowledged} was acknowledged"
+        )));
+    };
+    let text = String::from_utf8_lossy(&found).into_owned();
+    let version = text.split('"').nth(3).unwrap_or_default().to_owned();
+    record.note(&format!("operator: reads version {version}"));
+    let version = u64::from_str_radix(&version, 16).unwrap_or(0);
+    Ok((version < acknowledged).then(|| {
+        format!("CONFIG: read back, the configuration is older than version {acknowledged}")
+    }))
+}
--- a/review/harness/mesh.rs
+++ b/review/harness/mesh.rs
@@ -113,13 +113,25 @@
 }
 
 fn call(address: SocketAddr, method: &str, path: &str, headers: &str, body: &str) -> u16 {
+    let answer = call_for(address, method, path, headers, body, Duration::from_secs(2));
+    answer.map_or(0, |answer| answer.status())
+}
+
+/// Calls an interface of the platform on a new connection.
+pub fn call_for(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+    wait: Duration,
+) -> io::Result<Message> {
     let length = body.len();
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\
          Content-Type: application/json\r\nContent-Length: {length}\r\n{headers}\r\n{body}"
     );
-    let answer = exchange(address, request.as_bytes(), Duration::from_secs(2));
-    answer.map_or(0, |answer| answer.status())
+    exchange(address, request.as_bytes(), wait)
 }
 
 /// A program of the deploy file, with its settings file, data folder and log.
@@ -150,6 +162,16 @@
         let _ = self.child.wait();
     }
 
+    /// Resident memory in bytes without mapped files, or `None` if the process has ended.
+    pub fn memory_bytes(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"))?;
+        let kilobytes: u64 = line.split_whitespace().next()?.parse().ok()?;
+        Some(kilobytes * 1024)
+    }
+
     pub fn terminate(&self) {
         unsafe { kill(self.child.id() as i32, SIGTERM) };
     }
