--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -46,6 +46,7 @@
             "long-request" => long_request(&record, has_trouble),
             "late-copy" => late_copy(&record, has_trouble),
             "many-changes" => many_changes(&record, has_trouble),
+            "replace-leader" => replace_leader(&record, has_trouble),
             "stop-with-queue" => stop_with_queue(&record, has_trouble),
             "late-heartbeats" => late_heartbeats(&record, has_trouble),
             _ => Err(io::ErrorKind::InvalidInput.into()),
@@ -606,3 +607,114 @@
         format!("CONFIG: read back, the configuration is older than version {acknowledged}")
     }))
 }
+
+/// Returns the machine that leads, by the metrics page that the deploy file names.
+fn find_leader(cores: &[(u8, Process)]) -> Option<u8> {
+    const METRICS_PORT: u16 = 9464;
+    let leads = |core: &Process| {
+        let address = core.address(METRICS_PORT);
+        let page = mesh::call_for(address, "GET", "/metrics", "", "", Duration::from_secs(1));
+        let page = page.map_or(Vec::new(), |page| page.body);
+        let text = String::from_utf8_lossy(&page).into_owned();
+        text.lines()
+            .any(|line| line.contains("is_leader") && line.ends_with(" 1"))
+    };
+    let found = cores.iter().find(|(_, core)| leads(core));
+    found.map(|(host, _)| *host)
+}
+
+/// Sends a change to the machines in turn and returns whether one acknowledged it in time.
+fn change_configuration(
+    cores: &[(u8, Process)],
+    (base, version): (u64, u64),
+    within: Duration,
+) -> bool {
+    const CALL_WAIT: Duration = Duration::from_millis(1_500);
+    let header = format!("If-Match: {base:08x}\r\n");
+    let body = document(version, 20);
+    let started = Instant::now();
+    for (_, core) in cores.iter().cycle() {
+        let address = core.address(mesh::CONTROL_PORT);
+        let answer = mesh::call_for(address, "PUT", "/v1/config", &header, &body, CALL_WAIT);
+        if answer.is_ok_and(|answer| answer.status() == 200) {
+            return true;
+        }
+        if started.elapsed() > within {
+            return false;
+        }
+        sleep(Duration::from_millis(100));
+    }
+    false
+}
+
+/// The core machine that leads is replaced by an empty one at another address, four times with 8 s between.
+fn replace_leader(record: &Record, has_trouble: bool) -> Verdict {
+    const CORES: u8 = 5;
+    const REPLACEMENTS: u8 = 4;
+    const GAP: Duration = Duration::from_secs(8);
+    const SUCCESSOR_DELAY: Duration = Duration::from_secs(1);
+    const LAST_WAIT: Duration = Duration::from_secs(15);
+    const READING_FOR: Duration = Duration::from_secs(20);
+    const CALL_WAIT: Duration = Duration::from_millis(1_500);
+    let place = Place::new(CORES)?;
+    let mut cores = Vec::new();
+    for host in 1..=CORES {
+        cores.push((host, place.start_core(host)?));
+    }
+    if !change_configuration(&cores, (0, 1), START_TIMEOUT) {
+        return Err(io::Error::other(
+            "the first configuration was not acknowledged",
+        ));
+    }
+    record.note("operator: version 1 is acknowledged");
+    sleep(Duration::from_secs(2));
+    for number in 1..=REPLACEMENTS {
+        let begun = Instant::now();
+        if has_trouble {
+            let mut leader = None;
+            let soon = Instant::now() + Duration::from_secs(4);
+            wait_for(soon, || {
+                leader = find_leader(&cores);
+                leader.is_some()
+            });
+            let Some(leader) = leader else {
+                return Err(io::Error::other("no core machine leads"));
+            };
+            record.note(&format!("core machine {leader} is lost for good"));
+            cores.retain(|(host, _)| *host != leader);
+            sleep(SUCCESSOR_DELAY);
+            let successor = CORES + number;
+            let seeds: Vec<u8> = cores.iter().map(|(host, _)| *host).take(3).collect();
+            cores.push((successor, place.start_successor(successor, &seeds)?));
+            record.note(&format!("core machine {successor} is started in its place"));
+        }
+        sleep(GAP.saturating_sub(begun.elapsed()));
+    }
+    sleep(LAST_WAIT);
+    let is_changed = change_configuration(&cores, (1, 2), Duration::from_secs(10));
+    record.note(&format!(
+        "operator: version 2 is acknowledged: {is_changed}"
+    ));
+    let reading = Instant::now();
+    for (host, core) in cores.iter().cycle() {
+        let address = core.address(mesh::CONTROL_PORT);
+        let answer = mesh::call_for(address, "GET", "/v1/config", "", "", CALL_WAIT);
+        let status = answer.map_or(0, |answer| answer.status());
+        if status == 200 {
+            record.note(&format!("operator: machine {host} answers a read"));
+            return Ok(None);
+        }
+        if reading.elapsed() > READING_FOR {
+            break;
+        }
+        sleep(Duration::from_millis(100));
+    }
+    let running = cores
+        .iter_mut()
+        .filter_map(|(_, core)| (!core.has_ended()).then_some(()))
+        .count();
+    record.note(&format!("platform: {running} core machines run"));
+    Ok(Some(
+        "CONFIG: read back, the configuration doesn't come; version 1 was acknowledged".to_owned(),
+    ))
+}
--- a/review/harness/mesh.rs
+++ b/review/harness/mesh.rs
@@ -315,6 +315,27 @@
         Process::spawn("ebonyjunction-core", self.ip(host), folder)
     }
 
+    /// Starts a core machine that replaces another one, at a new address and with an empty disk. Its seeds are `seeds`.
+    pub fn start_successor(&self, host: u8, seeds: &[u8]) -> io::Result<Process> {
+        let data = self.folder.join(format!("data-{host}"));
+        fs::create_dir_all(&data)?;
+        let extra = format!(
+            "serves = [\"control\"]\ndata_dir = \"{}\"\n[listen]",
+            data.display()
+        );
+        let folder = self.write_settings(host, "core", &extra)?;
+        let path = folder.join("boot.toml");
+        let named: Vec<String> = seeds
+            .iter()
+            .map(|seed| format!("\"{}:{CONTROL_PORT}\"", self.ip(*seed)))
+            .collect();
+        let text = fs::read_to_string(&path)?
+            .replace("bootstrap = true", "bootstrap = false")
+            .replace(&self.seeds(), &named.join(","));
+        fs::write(&path, text)?;
+        Process::spawn("ebonyjunction-core", self.ip(host), folder)
+    }
+
     /// Starts the node of an endpoint. Other machines reach it at `advertise`, the address of a proxy, if one is given.
     pub fn start_sidecar(
         &self,
