Review: a slow reader loses the answers of its connection (LOST)

Harness: cases of kept connections and of configuration changes. Ruled out: memory limits, deadlines and the route's timeout, which are all later than the close at 20 s.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -1,6 +1,8 @@
 //! Runs one case of the review: `harness CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, and 2 if the
 //! case could not run. With `TROUBLE=0` the disruption is left out.
 
+mod configurations;
+mod connections;
 mod mesh;
 
 use std::io;
@@ -48,6 +50,10 @@
             "many-changes" => many_changes(&record, has_trouble),
             "replace-leader" => replace_leader(&record, has_trouble),
             "stop-with-queue" => stop_with_queue(&record, has_trouble),
+            "left-client" => connections::left_client(&record, has_trouble),
+            "slow-reader" => connections::slow_reader(&record, has_trouble),
+            "raised-limit" => configurations::raised_limit(&record, has_trouble),
+            "changed-weights" => configurations::changed_weights(&record, has_trouble),
             "late-heartbeats" => late_heartbeats(&record, has_trouble),
             _ => Err(io::ErrorKind::InvalidInput.into()),
         };
@@ -273,6 +279,7 @@
             // One answer of more than forty, which is less than three in a hundred.
             has_late_copy: has_trouble && is_full && number == 1 + 2 * FULL_EVERY,
             work: Duration::from_millis(100),
+            ..Reaction::default()
         }
     };
     let deployment = Deployment::start(record, (1, SLOTS), &routes("5s", "2s"), false, react)?;
--- a/review/harness/mesh.rs
+++ b/review/harness/mesh.rs
@@ -19,6 +19,8 @@
 pub const READY_PORT: u16 = 8302;
 pub const INBOUND_PORT: u16 = 8300;
 pub const APP_PORT: u16 = 8301;
+/// Limit on request bodies in the first configuration.
+pub const MAX_BODY_BYTES: usize = 67_108_864;
 pub const HEARTBEAT: Duration = Duration::from_millis(1500);
 
 unsafe extern "C" {
@@ -357,21 +359,17 @@
 
     /// Sends the first configuration to the core machines in turn until one acknowledges it.
     pub fn configure(&self, routes: &str, services: &[&str], until: Instant) -> bool {
-        let service = |name: &&str| {
-            format!(
-                r#""{name}":{{"health_path":"/healthz","max_conns":316,"protocol":"h1","tls":false}}"#
-            )
-        };
-        let services: Vec<String> = services.iter().map(service).collect();
-        let document = format!(
-            r#"{{"version":"00000001","routes":{{{routes}}},"services":{{{}}},"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}}}"#,
-            services.join(",")
-        );
+        let document = configuration(1, routes, services, MAX_BODY_BYTES);
+        self.put_configuration(0, &document, until)
+    }
+
+    /// Sends a configuration that builds on version `base` to the core machines in turn until one acknowledges it.
+    pub fn put_configuration(&self, base: u64, document: &str, until: Instant) -> bool {
         while Instant::now() < until {
             for host in 1..=self.cores {
                 let address = SocketAddr::new(self.ip(host), CONTROL_PORT);
-                let base = "If-Match: 00000000\r\n";
-                if call(address, "PUT", "/v1/config", base, &document) == 200 {
+                let header = format!("If-Match: {base:08x}\r\n");
+                if call(address, "PUT", "/v1/config", &header, document) == 200 {
                     return true;
                 }
             }
@@ -381,6 +379,20 @@
     }
 }
 
+/// Returns the document of a configuration.
+pub fn configuration(version: u64, routes: &str, services: &[&str], max_body: usize) -> String {
+    let service = |name: &&str| {
+        format!(
+            r#""{name}":{{"health_path":"/healthz","max_conns":316,"protocol":"h1","tls":false}}"#
+        )
+    };
+    let services: Vec<String> = services.iter().map(service).collect();
+    format!(
+        r#"{{"version":"{version:08x}","routes":{{{routes}}},"services":{{{}}},"limits":{{"max_header_bytes":16384,"max_body_bytes":{max_body},"header_timeout":"3000ms","idle_timeout":"15000ms"}}}}"#,
+        services.join(",")
+    )
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         if std::env::var_os("KEEP").is_none() {
@@ -398,6 +410,8 @@
     pub has_late_copy: bool,
     /// How long the endpoint works on the request.
     pub work: Duration,
+    /// Length of the answer's body; 0 for a short text.
+    pub answer_bytes: usize,
 }
 
 type React = dyn Fn(&Message, u64) -> Reaction + Send + Sync;
@@ -419,6 +433,8 @@
     answers: AtomicU64,
     /// Ids of the requests that began to run, in order, with the time.
     pub runs: Mutex<Vec<(String, Instant)>>,
+    /// Ids of the requests on which the work ended, with the time.
+    pub ends: Mutex<Vec<(String, Instant)>>,
     record: Record,
     react: Box<React>,
 }
@@ -447,6 +463,7 @@
             late_beats: Mutex::default(),
             answers: AtomicU64::new(0),
             runs: Mutex::default(),
+            ends: Mutex::default(),
             record: record.clone(),
             react: Box::new(react),
         });
@@ -582,7 +599,9 @@
                 late_copy = reaction.has_late_copy.then_some(reply);
                 continue;
             }
-            let Some(reply) = self.run(&mut stream, &request, &id, reaction.work)? else {
+            let reply = self.run(&mut stream, &request, &id, reaction);
+            self.ends.lock().unwrap().push((id, Instant::now()));
+            let Some(reply) = reply? else {
                 return Ok(());
             };
             stream.write_all(&reply)?;
@@ -609,9 +628,10 @@
         stream: &mut TcpStream,
         request: &Message,
         id: &str,
-        work: Duration,
+        reaction: Reaction,
     ) -> io::Result<Option<Vec<u8>>> {
         let begun = Instant::now();
+        let work = reaction.work;
         let line = request.first_line.trim_end_matches(" HTTP/1.1");
         let deadline_ms = request.header("deadline-ms");
         self.record.note(&format!(
@@ -656,13 +676,11 @@
         }
         self.record
             .note(&format!("{}: answers {id} (200)", self.name));
-        Ok(Some(answer(
-            200,
-            "OK",
-            id,
-            "Response-Seal: s\r\n",
-            &format!("done {id}"),
-        )))
+        let text = match reaction.answer_bytes {
+            0 => format!("done {id}"),
+            length => "x".repeat(length),
+        };
+        Ok(Some(answer(200, "OK", id, "Response-Seal: s\r\n", &text)))
     }
 }
 
@@ -793,15 +811,14 @@
     id: &str,
     deadline: Duration,
 ) -> Option<u16> {
-    let body = if method == "POST" { "{\"pay\":1}" } else { "" };
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\
-         Content-Length: {}\r\n\r\n{body}",
-        deadline.as_millis(),
-        body.len()
-    );
+    let body: &[u8] = if method == "POST" {
+        b"{\"pay\":1}"
+    } else {
+        b""
+    };
+    let request = encode_request(method, path, id, deadline, body);
     record.note(&format!("client: sends {id} ({method} {path})"));
-    let answer = exchange(address, request.as_bytes(), deadline);
+    let answer = exchange(address, &request, deadline);
     match answer {
         Ok(answer) => {
             let body = String::from_utf8_lossy(&answer.body).trim().to_owned();
@@ -818,6 +835,23 @@
     }
 }
 
+/// Returns the bytes of a client's request.
+pub fn encode_request(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline: Duration,
+    body: &[u8],
+) -> Vec<u8> {
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\
+         Content-Length: {}\r\n\r\n",
+        deadline.as_millis(),
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
 /// Waits until a condition holds.
 pub fn wait_for(until: Instant, mut holds: impl FnMut() -> bool) -> bool {
     while !holds() {
