Review: cases of connections and configurations that are left out stay in the harness

host-case is new: routes whose hosts differ only in case are acknowledged, and all orders run at the service of the other route.

--- a/review/harness/configurations.rs
+++ b/review/harness/configurations.rs
@@ -266,3 +266,53 @@
         )
     }))
 }
+
+/// The operator sends two routes with one prefix whose hosts differ only in the case of a letter.
+pub fn host_case(record: &Record, has_trouble: bool) -> Verdict {
+    let services = ["stock-a", "stock-b", "front"];
+    let plain = [
+        route("r-a", "/a/", "idempotent", r#""service":"stock-a""#),
+        route("r-b", "/b/", "idempotent", r#""service":"stock-b""#),
+    ];
+    let first = configuration(1, &plain.join(","), &services, MAX_BODY_BYTES);
+    let targets = [("A1", "stock-a"), ("B1", "stock-b")];
+    let fleet = Fleet::start(record, 1, &targets, &first)?;
+    fleet.warm_up("/a/1")?;
+    fleet.warm_up("/b/1")?;
+    let reads = route("r-1", "/pay/", "idempotent", r#""service":"stock-a""#);
+    let host = if has_trouble {
+        "Shop.example"
+    } else {
+        "other.example"
+    };
+    let reads = reads.replace("shop.example", host);
+    let orders = route("r-2", "/pay/", "non_idempotent", r#""service":"stock-b""#);
+    let routes = [&plain[0], &plain[1], &reads, &orders];
+    let routes: Vec<&str> = routes.iter().map(|route| route.as_str()).collect();
+    let document = configuration(2, &routes.join(","), &services, MAX_BODY_BYTES);
+    let until = Instant::now() + ACK;
+    let is_acknowledged = fleet.place.put_configuration(1, &document, until);
+    record.note(&format!(
+        "operator: version 2, with /pay/ at {host} and at shop.example, is acknowledged: {is_acknowledged}"
+    ));
+    if !is_acknowledged {
+        return Ok(None);
+    }
+    sleep(CONFIG_APPLY + Duration::from_secs(1));
+    for number in 1..=5 {
+        let request = encode_request("POST", "/pay/1", &format!("pay-{number}"), DEADLINE, b"{}");
+        exchange(fleet.outbound(0), &request, DEADLINE)?;
+    }
+    let runs = fleet.endpoints[0].runs.lock().unwrap();
+    let wrong = runs.iter().filter(|(id, _)| id.starts_with("pay-")).count();
+    record.note(&format!(
+        "{wrong} of 5 orders for shop.example ran at stock-a"
+    ));
+    // If the hosts are the same, the configuration is invalid. If they are not, no route leads the orders to stock-a.
+    Ok((wrong > 0).then(|| {
+        format!(
+            "CONFIG: a configuration with two routes for one host and prefix was acknowledged \
+             (or ROUTE: {wrong} orders ran at a service to which no route leads them)"
+        )
+    }))
+}
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -53,6 +53,7 @@
             "left-client" => connections::left_client(&record, has_trouble),
             "slow-reader" => connections::slow_reader(&record, has_trouble),
             "raised-limit" => configurations::raised_limit(&record, has_trouble),
+            "host-case" => configurations::host_case(&record, has_trouble),
             "changed-weights" => configurations::changed_weights(&record, has_trouble),
             "late-heartbeats" => late_heartbeats(&record, has_trouble),
             _ => Err(io::ErrorKind::InvalidInput.into()),
