Replace a lost voter by its successor without raising the quorum size

Callers saw: after the leader was lost and replaced at another address four times, 8 s apart, the core had no leader for good; the acknowledged configuration could not be read and no change was acknowledged.

Cause: a successor was promoted beside the lost voter, which was removed only after 12 s of silence counted from the election of the present leader. With a loss every 8 s no voter was removed, so 5 voters became 8, 3 of them lost, and the next loss left 4 of 8.

Change: a ready learner waits while a voter does not answer, and the silence after which that voter is removed is the longest election timeout if a learner can take its place or the number of voters is even. At min_voters the learner is promoted first and the removal follows. Changes are still made one at a time, each after the previous one is committed.

--- a/src/consensus/join.rs
+++ b/src/consensus/join.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use super::membership_history::reachable_peers;
+use super::membership_history::{is_superseded, reachable_peers};
+use super::peer_progress::PeerProgress;
 use super::{PeerMessage, ReplicaCore};
 use crate::error::Result;
 use crate::generated::command::Change;
@@ -185,20 +186,27 @@
         Ok(())
     }
 
-    /// Makes a learner a voter once it holds every committed entry on disk.
-    ///
-    /// The first entry of the term must be among them, because a new leader does not know yet how far earlier
-    /// leaders have committed. Entries committed after the leader sent the append that the learner answered last
-    /// are not required; otherwise a steady load could delay the promotion forever. These entries precede the
-    /// promotion in the log, so the learner holds them before it can vote or count towards a quorum.
+    /// Makes a learner a voter once it holds every committed entry on disk. Voters that do not answer are removed first
+    /// where `min_voters` allows it.
     pub(super) fn promote_learner(&mut self, now: TickTime) -> Result<()> {
-        if !self.can_change_membership() {
+        if !self.can_change_membership() || self.has_replaceable_voter(now) {
             return Ok(());
         }
-        let Some(leader_state) = &self.leader_state else {
+        let Some(learner) = self.ready_learner(now) else {
             return Ok(());
         };
-        let membership = self.members.current();
+        let promoted = with_promoted_learner(self.members.current(), learner);
+        self.append_membership(promoted)
+    }
+
+    /// Returns a learner that holds every committed entry on disk.
+    ///
+    /// The first entry of the term must be among them, because a new leader does not know yet how far earlier
+    /// leaders have committed. Entries committed after the leader sent the append that the learner answered last
+    /// are not required; otherwise a steady load could delay the promotion forever. These entries precede the
+    /// promotion in the log, so the learner holds them before it can vote or count towards a quorum.
+    fn ready_learner(&self, now: TickTime) -> Option<&ReplicaInfo> {
+        let leader_state = self.leader_state.as_ref()?;
         let is_ready = |learner: &&ReplicaInfo| {
             let peer = leader_state.peers.get(&learner.disk_id);
             peer.is_some_and(|peer| {
@@ -207,40 +215,64 @@
                     && self.is_responsive(now, peer)
             })
         };
-        let Some(learner) = membership.learners.iter().find(is_ready) else {
-            return Ok(());
-        };
-        let promoted = with_promoted_learner(membership, learner);
-        self.append_membership(promoted)
+        self.members.current().learners.iter().find(is_ready)
     }
 
-    /// Removes a voter that has not answered within `silent_voter_timeout`, so that a permanently lost VM no longer
-    /// counts towards the quorum size. A removed replica that returns joins again as a learner.
+    /// Returns the voters whose place another replica may take: those that do not answer, except voters that rejoined
+    /// with an empty disk, whose records their own promotion replaces.
+    fn unresponsive_voters(&self, now: TickTime) -> impl Iterator<Item = &PeerProgress> {
+        let membership = self.members.current();
+        let peers = self.leader_state.iter().flat_map(|state| &state.peers);
+        peers.map(|(_, peer)| peer).filter(move |peer| {
+            membership.voters.contains(&peer.info)
+                && !is_superseded(membership, &peer.info)
+                && !self.is_responsive(now, peer)
+        })
+    }
+
+    fn can_remove_voter(&self) -> bool {
+        let voters = self.members.current().voters.len();
+        self.settings.silent_voter_timeout.is_some() && voters > self.settings.min_voters
+    }
+
+    /// Returns whether a voter does not answer and may be removed. A successor that is promoted beside it would raise
+    /// the quorum size, and a few such replacements in a row would leave no quorum.
+    fn has_replaceable_voter(&self, now: TickTime) -> bool {
+        self.can_remove_voter() && self.unresponsive_voters(now).next().is_some()
+    }
+
+    /// Removes a voter that does not answer, so that a permanently lost VM no longer counts towards the quorum size.
+    /// A removed replica that returns joins again as a learner.
+    ///
+    /// It is removed soon if a learner can take its place, or if the number of voters is even: such a number tolerates
+    /// no more losses than the next lower one. Otherwise it is removed after `silent_voter_timeout`.
     pub(super) fn remove_silent_voter(&mut self, now: TickTime) -> Result<()> {
-        let Some(timeout) = self.settings.silent_voter_timeout else {
-            return Ok(());
-        };
-        let Some(leader_state) = &self.leader_state else {
+        let (Some(leader_state), Some(longest)) =
+            (&self.leader_state, self.settings.silent_voter_timeout)
+        else {
             return Ok(());
         };
-        let membership = self.members.current();
-        if !self.can_change_membership() || membership.voters.len() <= self.settings.min_voters {
+        if !self.can_change_membership() || !self.can_remove_voter() {
             return Ok(());
         }
-        let is_silent = |voter: &&ReplicaInfo| {
-            let Some(peer) = leader_state.peers.get(&voter.disk_id) else {
-                return false;
-            };
+        let membership = self.members.current();
+        let is_even = membership.voters.len().is_multiple_of(2);
+        let timeout = if is_even || self.ready_learner(now).is_some() {
+            longest.min(self.settings.election_timeout_max)
+        } else {
+            longest
+        };
+        let silent = self.unresponsive_voters(now).filter(|peer| {
             let heard_at = peer.confirmed_at.unwrap_or_default();
             now.saturating_since(heard_at.max(leader_state.elected_at)) > timeout
-        };
-        let Some(silent) = membership.voters.iter().find(is_silent) else {
+        });
+        let Some(silent) = silent.min_by_key(|peer| peer.confirmed_at) else {
             return Ok(());
         };
         let mut changed = membership.clone();
         changed
             .voters
-            .retain(|voter| voter.disk_id != silent.disk_id);
+            .retain(|voter| voter.disk_id != silent.info.disk_id);
         self.append_membership(changed)
     }
 
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -2,16 +2,23 @@
 
 mod simulation;
 
-use simulation::Simulation;
+use simulation::{ReplacementPlan, Simulation};
+
+/// Series of replacements per cluster size; `SIMULATION_SEEDS` overrides it.
+const REPLACEMENT_SERIES: u64 = 5;
 
 /// Schedules per cluster size in a normal run; `SIMULATION_SEEDS` overrides it for a longer search.
 const SCHEDULES: u64 = 300;
 
-fn run_schedules(size: u64) {
-    let schedules = std::env::var("SIMULATION_SEEDS")
-        .ok()
+fn seeds_or(default: u64) -> u64 {
+    let count = std::env::var("SIMULATION_SEEDS").ok();
+    count
         .and_then(|count| count.parse().ok())
-        .unwrap_or(SCHEDULES);
+        .unwrap_or(default)
+}
+
+fn run_schedules(size: u64) {
+    let schedules = seeds_or(SCHEDULES);
     let mut acknowledged = 0;
     for seed in 0..schedules {
         match Simulation::run(seed, size) {
@@ -45,3 +52,23 @@
         }
     }
 }
+
+/// Guards against a quorum that grows with each VM that is lost and replaced at another address, until too few of its
+/// voters are left.
+#[test]
+fn replacements_keep_quorum() {
+    for size in [3, 4, 5, 7] {
+        let plan = ReplacementPlan {
+            size,
+            count: 2 * size,
+            successor_delay: 1_000_000,
+            min_recovery: 4_000_000,
+            max_gap: 12_000_000,
+        };
+        for seed in 0..seeds_or(REPLACEMENT_SERIES) {
+            if let Err(error) = Simulation::run_replacements(seed, plan) {
+                panic!("{error}");
+            }
+        }
+    }
+}
--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -62,9 +62,13 @@
 }
 
 fn replica_on(id: u8, settings: ReplicaSettings) -> ReplicaCore {
+    replica_among(id, membership(), settings)
+}
+
+fn replica_among(id: u8, members: Membership, settings: ReplicaSettings) -> ReplicaCore {
     let mut store = MemoryStore::new([id; 16]);
     let first = Command {
-        change: Some(Change::Membership(membership())),
+        change: Some(Change::Membership(members.clone())),
     };
     store
         .append(&[entry(1, 1, first), entry(2, 2, expire_command(1))])
@@ -75,7 +79,7 @@
             vote: None,
         })
         .unwrap();
-    ReplicaCore::new(settings, info(id), Box::new(store), membership(), at(0), 7).unwrap()
+    ReplicaCore::new(settings, info(id), Box::new(store), members, at(0), 7).unwrap()
 }
 
 fn deliver(core: &mut ReplicaCore, now: u64, from: u8, message: PeerMessage) -> Vec<PeerMessage> {
@@ -96,13 +100,19 @@
     sent_messages(core.step(at(now), ReplicaEvent::Tick).unwrap())
 }
 
-fn grant_vote(core: &mut ReplicaCore, now: u64, term: u64, is_pre_vote: bool) -> Vec<PeerMessage> {
+fn grant_vote(
+    core: &mut ReplicaCore,
+    voter: u8,
+    now: u64,
+    term: u64,
+    is_pre_vote: bool,
+) -> Vec<PeerMessage> {
     let reply = VoteReply {
         term,
         granted: true,
         ..VoteReply::default()
     };
-    deliver(core, now, 2, PeerMessage::VoteReply(reply, is_pre_vote))
+    deliver(core, now, voter, PeerMessage::VoteReply(reply, is_pre_vote))
 }
 
 /// Elects replica 1 for term 4 at 700 ms; its log then ends with entry 3 of that term.
@@ -110,10 +120,26 @@
     elect(replica())
 }
 
-fn elect(mut core: ReplicaCore) -> ReplicaCore {
+/// Elects replica 1 of `size` voters with the votes of all but the last.
+fn leader_of(size: u8, settings: ReplicaSettings) -> ReplicaCore {
+    let members = Membership {
+        voters: (1..=size).map(info).collect(),
+        learners: Vec::new(),
+    };
+    elect_with(replica_among(1, members, settings), 2..size)
+}
+
+fn elect(core: ReplicaCore) -> ReplicaCore {
+    elect_with(core, 2..3)
+}
+
+fn elect_with(mut core: ReplicaCore, voters: std::ops::Range<u8>) -> ReplicaCore {
     tick(&mut core, 700);
-    grant_vote(&mut core, 700, 4, true);
-    grant_vote(&mut core, 700, 4, false);
+    for is_pre_vote in [true, false] {
+        for voter in voters.clone() {
+            grant_vote(&mut core, voter, 700, 4, is_pre_vote);
+        }
+    }
     sent_messages(core.flush(at(700)).unwrap());
     assert_eq!((core.role(), core.term()), (ReplicaRole::Leader, 4));
     core
@@ -494,6 +520,46 @@
     assert_eq!(voters_after_silence(3), [1, 2, 3]);
 }
 
+/// Runs a leader for 4 s while the last voter is silent and the successor of that VM, with the next id, answers.
+/// Returns the ids of voters and learners.
+fn members_after_replacement(size: u8) -> (Vec<u64>, Vec<u64>) {
+    let settings = ReplicaSettings {
+        silent_voter_timeout: Some(Duration::from_secs(12)),
+        max_voters: 15,
+        ..ReplicaSettings::default()
+    };
+    let mut core = leader_of(size, settings);
+    for now in (750..4_750).step_by(50) {
+        if now % 250 == 0 {
+            join(&mut core, now, info(size + 1));
+        }
+        for message in tick(&mut core, now) {
+            let PeerMessage::Append(request) = message else {
+                continue;
+            };
+            if request.receiver_disk_id != disk(size) {
+                let id = request.receiver_disk_id[0];
+                let last_index = request.previous_index + request.entries.len() as u64;
+                accept_append(&mut core, now, id, last_index, request.sequence);
+            }
+        }
+    }
+    let ids = |members: &[ReplicaInfo]| members.iter().map(|info| info.replica_id).collect();
+    (
+        ids(&core.membership().voters),
+        ids(&core.membership().learners),
+    )
+}
+
+// Guards against a successor that becomes a voter beside the lost replica and so raises the quorum size for as long as the
+// silence timeout.
+#[test]
+fn promote_learner_replaces_lost_voter() {
+    assert_eq!(members_after_replacement(5), (vec![1, 2, 3, 4, 6], vec![]));
+    assert_eq!(members_after_replacement(4), (vec![1, 2, 3, 5], vec![]));
+    assert_eq!(members_after_replacement(3), (vec![1, 2, 4], vec![]));
+}
+
 // Guards against a replica that asks only the replicas of its first settings to join, although these are gone.
 #[test]
 fn join_asks_configured_contacts() {
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -3,6 +3,7 @@
 mod disk;
 mod faults;
 mod oracle;
+mod replacements;
 mod replica;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,6 +17,7 @@
 pub use disk::SimulatedDisk;
 use faults::FaultPlan;
 use oracle::{CheckResult, FRESHNESS_LEASE, Oracle};
+pub use replacements::ReplacementPlan;
 use replica::SimulatedReplica;
 
 /// Microseconds of simulated time.
--- a/tests/simulation/replica.rs
+++ b/tests/simulation/replica.rs
@@ -19,11 +19,14 @@
 
 /// Largest relative deviation of a clock rate from real time.
 const MAX_CLOCK_DRIFT: f64 = 0.03;
+const SILENT_VOTER_TIMEOUT: Duration = Duration::from_secs(12);
+const MAX_VOTERS: usize = 15;
 
 #[derive(Debug)]
 pub struct SimulatedReplica {
     id: u64,
-    size: u64,
+    /// Replicas in the settings file.
+    contacts: Vec<u64>,
     settings: ReplicaSettings,
     pub disk: SimulatedDisk,
     pub core: Option<ReplicaCore>,
@@ -55,7 +58,7 @@
         };
         Self {
             id,
-            size,
+            contacts: (1..=size).collect(),
             settings,
             disk: SimulatedDisk::new(rng.random()),
             core: None,
@@ -67,10 +70,29 @@
         }
     }
 
+    /// Creates a replica with an empty disk that joins an existing cluster through `contacts`.
+    pub fn new_successor(id: u64, contacts: Vec<u64>, rng: &mut SmallRng) -> Self {
+        let mut replica = Self::new(id, 0, rng);
+        replica.contacts = contacts;
+        replica.settings.bootstrap = false;
+        replica
+    }
+
+    /// Lets leaders remove lost voters, and uses transfer sizes with which a successor catches up within a second.
+    pub fn expect_replacements(&mut self) {
+        self.settings = ReplicaSettings {
+            snapshot_entries: self.settings.snapshot_entries,
+            bootstrap: self.settings.bootstrap,
+            silent_voter_timeout: Some(SILENT_VOTER_TIMEOUT),
+            max_voters: MAX_VOTERS,
+            ..ReplicaSettings::default()
+        };
+    }
+
     pub fn start(&mut self, now: Micros, seed: u64) -> Result<(), String> {
         self.started_at = now;
         let membership = Membership {
-            voters: (1..=self.size).map(replica_info).collect(),
+            voters: self.contacts.iter().copied().map(replica_info).collect(),
             learners: Vec::new(),
         };
         let core = ReplicaCore::new(
