Remove learners that have been lost

Callers would see: once lost learners use up the places up to max_voters, every further replica is refused, so a lost voter can't be replaced.

Cause: only voters were removed for silence.

Change: the leader removes a learner that has not answered within the silence timeout, counted from the first append sent to it. Voters' silence counts from there too.

Measured: tick_silent_learner fails without the change (the lost learner is still listed) and passes with it, with all of replica_rules and consensus.

--- a/src/consensus/join.rs
+++ b/src/consensus/join.rs
@@ -263,8 +263,8 @@
             longest
         };
         let silent = self.unresponsive_voters(now).filter(|peer| {
-            let heard_at = peer.confirmed_at.unwrap_or_default();
-            now.saturating_since(heard_at.max(leader_state.elected_at)) > timeout
+            let silent_since = peer.silent_since().unwrap_or(leader_state.elected_at);
+            now.saturating_since(silent_since) > timeout
         });
         let Some(silent) = silent.min_by_key(|peer| peer.confirmed_at) else {
             return Ok(());
@@ -276,6 +276,30 @@
         self.append_membership(changed)
     }
 
+    /// Removes a learner that has not answered within `silent_voter_timeout`. Lost learners would otherwise use up the
+    /// places that `max_voters` leaves, and later replicas could not join.
+    pub(super) fn remove_silent_learner(&mut self, now: TickTime) -> Result<()> {
+        let (Some(leader_state), Some(timeout)) =
+            (&self.leader_state, self.settings.silent_voter_timeout)
+        else {
+            return Ok(());
+        };
+        if !self.can_change_membership() {
+            return Ok(());
+        }
+        let is_silent = |learner: &ReplicaInfo| {
+            let peer = leader_state.peers.get(&learner.disk_id);
+            let silent_since = peer.and_then(PeerProgress::silent_since);
+            silent_since.is_some_and(|at| now.saturating_since(at) > timeout)
+        };
+        let mut changed = self.members.current().clone();
+        changed.learners.retain(|learner| !is_silent(learner));
+        if changed.learners.len() == self.members.current().learners.len() {
+            return Ok(());
+        }
+        self.append_membership(changed)
+    }
+
     /// Records from a join reply either the members of an existing cluster, or that the sender holds no log.
     pub(super) fn on_join_reply(&mut self, now: TickTime, from: u64, reply: JoinReply) {
         if reply.disk_id != self.own.disk_id {
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -87,7 +87,8 @@
             self.resend_snapshots(now);
         }
         self.promote_learner(now)?;
-        self.remove_silent_voter(now)
+        self.remove_silent_voter(now)?;
+        self.remove_silent_learner(now)
     }
 
     /// Adds progress records for new members and removes those of former members.
--- a/src/consensus/peer_progress.rs
+++ b/src/consensus/peer_progress.rs
@@ -26,6 +26,8 @@
     pub(super) is_probing: bool,
     /// Rejections of appends with a sequence number up to this one are ignored as outdated.
     pub(super) reset_sequence: u64,
+    /// Send time of the first append.
+    first_sent_at: Option<TickTime>,
     /// Send time of the latest append that was answered.
     pub(super) confirmed_at: Option<TickTime>,
     pub(super) transfer: Option<OutgoingSnapshot>,
@@ -63,6 +65,7 @@
             next_index,
             is_probing: true,
             reset_sequence: 0,
+            first_sent_at: None,
             confirmed_at: None,
             transfer: None,
             is_caught_up: false,
@@ -72,6 +75,7 @@
     }
 
     pub(super) fn record_send(&mut self, sequence: u64, sent_at: TickTime, commit_index: u64) {
+        self.first_sent_at.get_or_insert(sent_at);
         if self.unanswered_appends.len() == MAX_TRACKED_APPENDS {
             self.unanswered_appends.pop_front();
         }
@@ -82,6 +86,11 @@
         });
     }
 
+    /// Returns the time since when the replica has not answered, or `None` if nothing was sent to it.
+    pub(super) fn silent_since(&self) -> Option<TickTime> {
+        self.confirmed_at.or(self.first_sent_at)
+    }
+
     /// Records the reply to an append. The caller raises the matching position first.
     ///
     /// The leader is confirmed as of the time it sent the append, not as of the answer.
--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -489,6 +489,22 @@
     assert_eq!(core.commit_index(), 5);
 }
 
+/// Lets a leader tick while some of the other replicas accept its appends.
+fn answer_appends(core: &mut ReplicaCore, times: std::ops::Range<u64>, answering: &[u8]) {
+    for now in times.step_by(50) {
+        for message in tick(core, now) {
+            let PeerMessage::Append(request) = message else {
+                continue;
+            };
+            let id = request.receiver_disk_id[0];
+            if answering.contains(&id) {
+                let last_index = request.previous_index + request.entries.len() as u64;
+                accept_append(core, now, id, last_index, request.sequence);
+            }
+        }
+    }
+}
+
 /// Runs a leader for 7 s while replica 2 answers and replica 3 is silent; returns the voters.
 fn voters_after_silence(min_voters: usize) -> Vec<u64> {
     let settings = ReplicaSettings {
@@ -497,17 +513,7 @@
         ..ReplicaSettings::default()
     };
     let mut core = elect(replica_with(settings));
-    for now in (750..7_750).step_by(50) {
-        for message in tick(&mut core, now) {
-            let PeerMessage::Append(request) = message else {
-                continue;
-            };
-            if request.receiver_disk_id == disk(2) {
-                let last_index = request.previous_index + request.entries.len() as u64;
-                accept_append(&mut core, now, 2, last_index, request.sequence);
-            }
-        }
-    }
+    answer_appends(&mut core, 750..7_750, &[2]);
     let voters = core.membership().voters.iter();
     voters.map(|voter| voter.replica_id).collect()
 }
@@ -529,21 +535,10 @@
         ..ReplicaSettings::default()
     };
     let mut core = leader_of(size, settings);
-    for now in (750..4_750).step_by(50) {
-        if now % 250 == 0 {
-            join(&mut core, now, info(size + 1));
-        }
-        for message in tick(&mut core, now) {
-            let PeerMessage::Append(request) = message else {
-                continue;
-            };
-            if request.receiver_disk_id != disk(size) {
-                let id = request.receiver_disk_id[0];
-                let last_index = request.previous_index + request.entries.len() as u64;
-                accept_append(&mut core, now, id, last_index, request.sequence);
-            }
-        }
-    }
+    let answering: Vec<u8> = (2..size).chain([size + 1]).collect();
+    answer_appends(&mut core, 750..1_250, &answering);
+    join(&mut core, 1_250, info(size + 1));
+    answer_appends(&mut core, 1_250..4_750, &answering);
     let ids = |members: &[ReplicaInfo]| members.iter().map(|info| info.replica_id).collect();
     (
         ids(&core.membership().voters),
@@ -560,6 +555,26 @@
     assert_eq!(members_after_replacement(3), (vec![1, 2, 4], vec![]));
 }
 
+// Guards against lost learners that stay in the membership for good, until further replicas are refused as too many, and
+// against removing a learner that has just joined.
+#[test]
+fn tick_silent_learner() {
+    let settings = ReplicaSettings {
+        silent_voter_timeout: Some(Duration::from_secs(5)),
+        max_voters: 4,
+        ..ReplicaSettings::default()
+    };
+    let mut core = elect(replica_with(settings));
+    answer_appends(&mut core, 750..2_000, &[2, 3]);
+    join(&mut core, 2_000, info(4));
+    answer_appends(&mut core, 2_000..6_500, &[2, 3]);
+    assert_eq!(core.membership().learners, [info(4)]);
+    answer_appends(&mut core, 6_500..8_000, &[2, 3]);
+    assert_eq!(core.membership().learners, []);
+    join(&mut core, 8_000, info(5));
+    assert_eq!(core.membership().learners, [info(5)]);
+}
+
 // Guards against a replica that asks only the replicas of its first settings to join, although these are gone.
 #[test]
 fn join_asks_configured_contacts() {
