Bound the replicated log in bytes

Callers saw: with 1,400 routes, after some 300 changes of the configuration the processes of the core passed their memory one after the other, ended again and again, and the acknowledged configuration did not come.

On related paths: the earlier versions kept for differences, the uncommitted proposals, the committed entries handed out at once after a start, and the recovery, which copied the log.

The five tests of the single bounds fail without the change and pass with it; all of consensus, replica_rules, storage and control_state pass. Ruled out: handing out entries by max_append_bytes, which made schedule_slow_recovery_1780 fail; the bound is a setting of its own.

--- a/src/consensus/commit.rs
+++ b/src/consensus/commit.rs
@@ -1,5 +1,8 @@
 //! Proposals and committed entries.
 
+use prost::Message;
+
+use super::leader::PendingProposal;
 use super::membership_history::quorum_size;
 use super::{ReplicaAction, ReplicaCore};
 use crate::error::Result;
@@ -12,8 +15,12 @@
     /// The proposal is rejected if this replica is not the leader, if too many proposals are pending, or if the
     /// command is empty or a membership change.
     pub(super) fn propose(&mut self, token: u64, command: Command) -> Result<()> {
+        let encoded_bytes = command.encoded_len();
         let has_room = self.leader_state.as_ref().is_some_and(|leader_state| {
-            leader_state.proposal_tokens.len() < self.settings.max_pending_proposals
+            let total_bytes = leader_state.proposal_bytes + encoded_bytes;
+            let fits = total_bytes <= self.settings.max_pending_bytes;
+            leader_state.proposals.is_empty()
+                || (leader_state.proposals.len() < self.settings.max_pending_proposals && fits)
         });
         let is_membership = matches!(command.change, Some(Change::Membership(_)));
         if !has_room || is_membership || command.change.is_none() {
@@ -22,7 +29,12 @@
         }
         let index = self.append_command(command)?;
         if let Some(leader_state) = &mut self.leader_state {
-            leader_state.proposal_tokens.insert(index, token);
+            let proposal = PendingProposal {
+                token,
+                encoded_bytes,
+            };
+            leader_state.proposals.insert(index, proposal);
+            leader_state.proposal_bytes += encoded_bytes;
         }
         Ok(())
     }
@@ -70,18 +82,18 @@
         }
     }
 
-    /// Emits committed entries that are on this replica's disk, and requests a snapshot when one is due.
+    /// Emits committed entries that are on this replica's disk, up to `max_commit_bytes`, and requests a snapshot when
+    /// one is due.
     pub(super) fn emit_commits(&mut self) {
         let last = self.commit_index.min(self.synced_index);
-        while self.applied_index < last {
+        let mut emitted_bytes = 0;
+        while self.applied_index < last && emitted_bytes < self.settings.max_commit_bytes {
             let Some(entry) = self.store.entry(self.applied_index + 1) else {
                 return;
             };
             self.applied_index = entry.index;
-            let token = self
-                .leader_state
-                .as_mut()
-                .and_then(|leader_state| leader_state.proposal_tokens.remove(&entry.index));
+            emitted_bytes += entry.encoded_len();
+            let token = self.take_proposal(entry.index);
             self.push_action(ReplicaAction::Commit {
                 index: entry.index,
                 term: entry.term,
@@ -89,11 +101,24 @@
                 token,
             });
         }
-        if self.applied_index >= self.requested_snapshot_index + self.settings.snapshot_entries {
+        self.applied_bytes += emitted_bytes;
+        let due_index = self.requested_snapshot_index + self.settings.snapshot_entries;
+        let is_due = self.applied_index >= due_index
+            || self.applied_bytes >= self.settings.snapshot_log_bytes;
+        if is_due {
             self.requested_snapshot_index = self.applied_index;
+            self.applied_bytes = 0;
             self.push_action(ReplicaAction::CreateSnapshot {
                 up_to: self.applied_index,
             });
         }
     }
+
+    /// Removes the pending proposal of an entry and returns its token.
+    fn take_proposal(&mut self, index: u64) -> Option<u64> {
+        let leader_state = self.leader_state.as_mut()?;
+        let proposal = leader_state.proposals.remove(&index)?;
+        leader_state.proposal_bytes -= proposal.encoded_bytes;
+        Some(proposal.token)
+    }
 }
--- a/src/consensus/core.rs
+++ b/src/consensus/core.rs
@@ -35,6 +35,8 @@
     pub(super) synced_index: u64,
     /// Index of the latest snapshot that the caller was asked to create.
     pub(super) requested_snapshot_index: u64,
+    /// Encoded size of the entries applied since that index.
+    pub(super) applied_bytes: usize,
     pub(super) members: MembershipHistory,
     pub(super) join: JoinState,
     pub(super) election_deadline: TickTime,
@@ -82,6 +84,7 @@
             commit_index: covered_index,
             applied_index: covered_index,
             requested_snapshot_index: covered_index,
+            applied_bytes: 0,
             members,
             join: JoinState::new(membership, now),
             election_deadline: now,
@@ -123,6 +126,12 @@
         Ok(self.take_actions())
     }
 
+    /// Returns the next actions of committed entries, or none once all of them are emitted. The actions of one call are
+    /// bounded in bytes, so that a long log can be applied without a second copy of it in memory.
+    pub fn continue_commits(&mut self) -> Vec<ReplicaAction> {
+        self.take_actions()
+    }
+
     /// Returns the role in the current term.
     pub fn role(&self) -> ReplicaRole {
         self.role
@@ -273,9 +282,11 @@
         if let Some(leader_state) = self.leader_state.take() {
             self.leader_id = None;
             self.leader_contact = None;
-            let proposal_tokens = leader_state.proposal_tokens.into_values();
-            self.actions
-                .extend(proposal_tokens.map(|token| ReplicaAction::RejectProposal { token }));
+            let proposals = leader_state.proposals.into_values();
+            self.actions.extend(proposals.map(|proposal| {
+                let token = proposal.token;
+                ReplicaAction::RejectProposal { token }
+            }));
             self.reset_election_deadline(now);
         }
         self.votes = VoteCount::default();
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -19,13 +19,22 @@
     pub(super) elected_at: TickTime,
     pub(super) next_heartbeat: TickTime,
     pub(super) sequence: u64,
-    /// Tokens of the proposals made on this leader, by entry index.
-    pub(super) proposal_tokens: BTreeMap<u64, u64>,
+    /// Uncommitted proposals made on this leader, by entry index.
+    pub(super) proposals: BTreeMap<u64, PendingProposal>,
+    /// Encoded size of all pending proposals.
+    pub(super) proposal_bytes: usize,
     /// Progress of the other replicas. The key is the disk identity, so that a reply from a replaced disk is never
     /// counted.
     pub(super) peers: BTreeMap<Bytes, PeerProgress>,
 }
 
+/// Proposal whose entry is not applied yet.
+#[derive(Debug)]
+pub(super) struct PendingProposal {
+    pub(super) token: u64,
+    pub(super) encoded_bytes: usize,
+}
+
 impl LeaderState {
     pub(super) fn new(term_start: u64, now: TickTime) -> Self {
         Self {
@@ -33,7 +42,8 @@
             elected_at: now,
             next_heartbeat: now,
             sequence: 0,
-            proposal_tokens: BTreeMap::new(),
+            proposals: BTreeMap::new(),
+            proposal_bytes: 0,
             peers: BTreeMap::new(),
         }
     }
--- a/src/consensus/settings.rs
+++ b/src/consensus/settings.rs
@@ -6,11 +6,14 @@
 const ELECTION_TIMEOUT_MIN: Duration = Duration::from_millis(300);
 const ELECTION_TIMEOUT_MAX: Duration = Duration::from_millis(600);
 const SNAPSHOT_ENTRIES: u64 = 4_096;
+const SNAPSHOT_LOG_BYTES: usize = 4 * 1024 * 1024;
 const MAX_APPEND_BYTES: usize = 1024 * 1024;
 const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
 /// Default of `max_in_flight_appends`. It covers several round trips between regions at the expected rate of appends.
 const MAX_IN_FLIGHT_APPENDS: usize = 64;
 const MAX_PENDING_PROPOSALS: usize = 16_384;
+const MAX_COMMIT_BYTES: usize = 1024 * 1024;
+const MAX_PENDING_BYTES: usize = 8 * 1024 * 1024;
 const JOIN_INTERVAL: Duration = Duration::from_millis(250);
 const BOOTSTRAP_WINDOW: Duration = Duration::from_secs(2);
 const MAX_VOTERS: usize = 5;
@@ -29,6 +32,8 @@
     pub election_timeout_max: Duration,
     /// Number of applied entries after which a snapshot is requested.
     pub snapshot_entries: u64,
+    /// Encoded size of applied entries after which a snapshot is requested, even if they are fewer.
+    pub snapshot_log_bytes: usize,
     /// Maximum encoded size of the entries of one append; one entry is sent even if it is larger.
     pub max_append_bytes: usize,
     /// Maximum length of one snapshot chunk, in bytes.
@@ -38,6 +43,10 @@
     pub max_in_flight_appends: usize,
     /// Maximum number of uncommitted proposals; further ones are dropped.
     pub max_pending_proposals: usize,
+    /// Maximum encoded size of the committed entries that one call returns; one entry is returned even if it is larger.
+    pub max_commit_bytes: usize,
+    /// Maximum encoded size of uncommitted proposals; one proposal is accepted even if it is larger.
+    pub max_pending_bytes: usize,
     /// Time between two join requests of a replica that is not yet an established member.
     pub join_interval: Duration,
     /// Maximum age of another initial replica's join request and reply when the first configuration is created.
@@ -59,10 +68,13 @@
             election_timeout_min: ELECTION_TIMEOUT_MIN,
             election_timeout_max: ELECTION_TIMEOUT_MAX,
             snapshot_entries: SNAPSHOT_ENTRIES,
+            snapshot_log_bytes: SNAPSHOT_LOG_BYTES,
             max_append_bytes: MAX_APPEND_BYTES,
             snapshot_chunk_bytes: SNAPSHOT_CHUNK_BYTES,
             max_in_flight_appends: MAX_IN_FLIGHT_APPENDS,
             max_pending_proposals: MAX_PENDING_PROPOSALS,
+            max_commit_bytes: MAX_COMMIT_BYTES,
+            max_pending_bytes: MAX_PENDING_BYTES,
             join_interval: JOIN_INTERVAL,
             bootstrap_window: BOOTSTRAP_WINDOW,
             max_voters: MAX_VOTERS,
--- a/src/control_server/replica.rs
+++ b/src/control_server/replica.rs
@@ -97,8 +97,11 @@
                 is_stopping |= self.handle(input)?;
             }
             self.tick()?;
-            let actions = self.parts.core.flush(self.now())?;
-            self.perform(actions)?;
+            let mut actions = self.parts.core.flush(self.now())?;
+            while !actions.is_empty() {
+                self.perform(actions)?;
+                actions = self.parts.core.continue_commits();
+            }
             self.replies.clear();
             self.answer_held_heartbeats();
             self.answer_pending_reads();
--- a/src/control_state/route_history.rs
+++ b/src/control_state/route_history.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
+use prost::Message;
 
 use crate::generated::{RouteChange, RouteDelta, RouteSet};
 use crate::routes::{RouteBook, route_delta};
@@ -10,6 +11,8 @@
 /// Number of earlier versions kept to compute differences. A node with an older version gets all routes. Nodes send
 /// heartbeats every second, and operators apply a few versions per second at most.
 const MAX_VERSIONS: usize = 16;
+/// Maximum encoded size of the earlier versions.
+const MAX_VERSION_BYTES: usize = 4 * 1024 * 1024;
 /// Number of digests kept to recognise a resent change; several days of changes at the design size.
 const MAX_DIGESTS: usize = 2_048;
 
@@ -70,10 +73,7 @@
         }
         let mut replaced = std::mem::replace(&mut self.current, routes.clone());
         replaced.document = Bytes::new();
-        self.earlier.push_back(replaced);
-        if self.earlier.len() > MAX_VERSIONS {
-            self.earlier.pop_front();
-        }
+        self.keep_earlier(replaced);
         self.digests.push_back(change.digest.clone());
         if self.digests.len() > MAX_DIGESTS {
             self.digests.pop_front();
@@ -81,6 +81,21 @@
         true
     }
 
+    /// Keeps a replaced version, and drops the oldest ones beyond the limits on their number and size.
+    fn keep_earlier(&mut self, replaced: RouteSet) {
+        self.earlier.push_back(replaced);
+        let sizes = self.earlier.iter().rev().map(Message::encoded_len);
+        let totals = sizes.scan(0, |total, size| {
+            *total += size;
+            Some(*total)
+        });
+        let kept = totals
+            .take(MAX_VERSIONS)
+            .take_while(|total| *total <= MAX_VERSION_BYTES)
+            .count();
+        self.earlier.drain(..self.earlier.len() - kept);
+    }
+
     pub(super) fn delta_since(&self, held_version: u64) -> RouteDelta {
         let base = self
             .earlier
--- a/src/storage/log_window.rs
+++ b/src/storage/log_window.rs
@@ -9,9 +9,11 @@
 use crate::error::{MeshError, Result};
 use crate::generated::LogEntry;
 
-/// Number of covered entries that stay in memory after a snapshot, so that a follower that is slightly
-/// behind does not need the whole snapshot.
+/// Maximum number of covered entries that stay in memory after a snapshot, so that a follower that is slightly behind
+/// does not need the whole snapshot.
 const RETAINED_ENTRIES: u64 = 256;
+/// Maximum encoded size of these entries.
+const RETAINED_BYTES: usize = 1024 * 1024;
 
 /// Consecutive log entries that follow a base position, and the latest snapshot.
 #[derive(Debug, Clone, Default)]
@@ -22,10 +24,11 @@
 }
 
 impl LogWindow {
-    pub(super) fn new(snapshot: Option<(SnapshotMeta, Bytes)>) -> Self {
+    /// Creates a window from a snapshot and the consecutive entries that follow it.
+    pub(super) fn recover(snapshot: Option<(SnapshotMeta, Bytes)>, entries: Vec<LogEntry>) -> Self {
         Self {
             base: snapshot.as_ref().map(|(meta, _)| *meta).unwrap_or_default(),
-            entries: VecDeque::new(),
+            entries: entries.into(),
             snapshot,
         }
     }
@@ -130,8 +133,26 @@
         self.snapshot = Some((meta, data));
     }
 
+    /// Returns the index of the first covered entry that stays in memory when all up to `last_covered` are covered.
+    fn first_retained(&self, last_covered: u64) -> u64 {
+        let earliest = last_covered.saturating_sub(RETAINED_ENTRIES) + 1;
+        let mut retained_bytes = 0;
+        let mut first = last_covered + 1;
+        while first > earliest {
+            let Some(entry) = self.entry(first - 1) else {
+                break;
+            };
+            retained_bytes += entry.encoded_len();
+            if retained_bytes > RETAINED_BYTES {
+                break;
+            }
+            first -= 1;
+        }
+        first
+    }
+
     fn drop_covered(&mut self, meta: SnapshotMeta) {
-        let keep_from = meta.last_index.saturating_sub(RETAINED_ENTRIES) + 1;
+        let keep_from = self.first_retained(meta.last_index);
         while self.first_index() < keep_from {
             let Some(entry) = self.entries.pop_front() else {
                 break;
--- a/src/storage/recovery.rs
+++ b/src/storage/recovery.rs
@@ -67,16 +67,16 @@
         let is_last = position + 1 == listing.segments.len();
         segments.push(replay.read_segment(path, is_last)?);
     }
-    let entries = replay.entries;
+    let mut entries = replay.entries;
     check_log_start(listing, &entries, covered)?;
     let matches_snapshot = log_matches_snapshot(&entries, covered);
-    let mut window = LogWindow::new(snapshot);
     if matches_snapshot {
-        let skipped = entries.partition_point(|entry| entry.index <= covered.last_index);
-        window.append(&entries[skipped..])?;
+        entries.retain(|entry| entry.index > covered.last_index);
     } else {
+        entries.clear();
         remove_segments(folder, &mut segments)?;
     }
+    let window = LogWindow::recover(snapshot, entries);
     Ok(RecoveredLog { window, segments })
 }
 
--- a/tests/control_state.rs
+++ b/tests/control_state.rs
@@ -7,7 +7,8 @@
 use ebonyjunction::generated::command::Change;
 use ebonyjunction::generated::{
     ClaimCommand, ClaimDecision, ClaimKey, ClaimOutcome, Command, ExpireCommand, PlanChange,
-    PlanRow, PlanSet, SettleCommand,
+    PlanRow, PlanSet, RepeatKind, RouteChange, RoutePart, RouteRow, RouteService, RouteSet,
+    SettleCommand,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
@@ -328,3 +329,52 @@
     assert!(state.restore(&[0xff; 32]).is_err());
     assert_eq!(state.snapshot(), snapshot);
 }
+
+/// Returns a set of routes of one service, of about 50 bytes each, which all get a new timeout with each version.
+fn route_set(version: u64, routes: u32) -> RouteSet {
+    let row = |number: u32| RouteRow {
+        name: format!("r-{number}"),
+        host: "shop.example".to_owned(),
+        prefix: format!("/p{number}/"),
+        repeat_kind: RepeatKind::Idempotent.into(),
+        attempts: 2,
+        timeout_ms: 1_000 + version as u32,
+        objective_ms: 1_000,
+        urgency: 1,
+        parts: vec![RoutePart {
+            service: "orders".to_owned(),
+            weight: 1,
+        }],
+    };
+    RouteSet {
+        version,
+        routes: (0..routes).map(row).collect(),
+        services: vec![RouteService {
+            name: "orders".to_owned(),
+            ..RouteService::default()
+        }],
+        ..RouteSet::default()
+    }
+}
+
+// Guards against earlier versions of the routes that are bounded in number only, which takes memory in proportion to the
+// size of the configuration.
+#[test]
+fn route_delta_bounds_earlier_versions() {
+    for (routes, kept) in [(100, 16), (20_000, 4)] {
+        let mut state = ControlState::new();
+        for version in 1..=20 {
+            let change = RouteChange {
+                base_version: version - 1,
+                routes: Some(route_set(version, routes)),
+                digest: vec![version as u8; 32].into(),
+            };
+            let change = Some(Change::Routes(change));
+            state.apply(version, &Command { change });
+        }
+        let is_kept = |version: &u64| state.route_delta(*version).base_version == *version;
+        let found = (1..20).filter(is_kept).count();
+        assert!(found <= kept, "{routes} routes: {found} versions are kept");
+        assert!(found > 0, "{routes} routes: the last versions are kept");
+    }
+}
--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -9,7 +9,7 @@
 use ebonyjunction::generated::command::Change;
 use ebonyjunction::generated::{
     AppendReply, AppendRequest, Command, ExpireCommand, JoinReply, JoinRequest, LogEntry,
-    Membership, ReplicaInfo, VoteReply, VoteRequest,
+    Membership, ReplicaInfo, RouteChange, VoteReply, VoteRequest,
 };
 use ebonyjunction::storage::{HardState, LogStore, MemoryStore};
 use ebonyjunction::types::TickTime;
@@ -594,3 +594,114 @@
     let asked: Vec<u64> = asked.collect();
     assert!(asked.contains(&9), "{asked:?}");
 }
+
+fn large_command(bytes: usize) -> Command {
+    let change = Change::Routes(RouteChange {
+        digest: vec![7; bytes].into(),
+        ..RouteChange::default()
+    });
+    Command {
+        change: Some(change),
+    }
+}
+
+/// Returns the number of commits before the first request for a snapshot.
+fn commits_before_snapshot(actions: &[ReplicaAction]) -> Option<usize> {
+    let is_request =
+        |action: &ReplicaAction| matches!(action, ReplicaAction::CreateSnapshot { .. });
+    let position = actions.iter().position(is_request)?;
+    let is_commit = |action: &&ReplicaAction| matches!(action, ReplicaAction::Commit { .. });
+    Some(actions[..position].iter().filter(is_commit).count())
+}
+
+// Guards against a log of large entries that is compacted by their number alone and outgrows the memory of its process.
+#[test]
+fn commit_large_entries_requests_snapshot() {
+    let settings = ReplicaSettings {
+        snapshot_log_bytes: 1_000_000,
+        ..ReplicaSettings::default()
+    };
+    let mut core = elect(replica_with(settings));
+    for token in 0..20 {
+        let command = large_command(100_000);
+        let event = ReplicaEvent::Propose { token, command };
+        core.step(at(710), event).unwrap();
+    }
+    core.flush(at(710)).unwrap();
+    let reply = AppendReply {
+        term: core.term(),
+        accepted: true,
+        last_index: 23,
+        disk_id: disk(2),
+        sequence: 1,
+    };
+    let event = ReplicaEvent::Message {
+        from: 2,
+        message: PeerMessage::AppendReply(reply),
+    };
+    let actions = core.step(at(720), event).unwrap();
+    let commits = commits_before_snapshot(&actions).expect("a snapshot is requested");
+    assert!(
+        commits <= 14,
+        "a snapshot is requested after {commits} entries"
+    );
+}
+
+// Guards against a replica that hands out its whole log at once, and so holds each entry twice, when it has a long log to
+// apply after a start.
+#[test]
+fn commit_actions_are_bounded_in_bytes() {
+    let settings = ReplicaSettings {
+        max_commit_bytes: 300_000,
+        ..ReplicaSettings::default()
+    };
+    let mut core = elect(replica_with(settings));
+    for token in 0..20 {
+        let command = large_command(100_000);
+        let event = ReplicaEvent::Propose { token, command };
+        core.step(at(710), event).unwrap();
+    }
+    core.flush(at(710)).unwrap();
+    let reply = AppendReply {
+        term: core.term(),
+        accepted: true,
+        last_index: 23,
+        disk_id: disk(2),
+        sequence: 1,
+    };
+    let event = ReplicaEvent::Message {
+        from: 2,
+        message: PeerMessage::AppendReply(reply),
+    };
+    let mut actions = core.step(at(720), event).unwrap();
+    let mut tokens = Vec::new();
+    while !actions.is_empty() {
+        let commits = actions.iter().filter_map(|action| match action {
+            ReplicaAction::Commit { token, .. } => Some(*token),
+            _ => None,
+        });
+        let commits: Vec<Option<u64>> = commits.collect();
+        assert!(commits.len() <= 6, "{} entries at once", commits.len());
+        tokens.extend(commits.into_iter().flatten());
+        actions = core.continue_commits();
+    }
+    assert_eq!(tokens, (0..20).collect::<Vec<u64>>());
+}
+
+// Guards against uncommitted proposals that are bounded in number only.
+#[test]
+fn propose_bounds_pending_bytes() {
+    let settings = ReplicaSettings {
+        max_pending_bytes: 250_000,
+        ..ReplicaSettings::default()
+    };
+    let mut core = elect(replica_with(settings));
+    let mut propose = |token, bytes| {
+        let command = large_command(bytes);
+        let event = ReplicaEvent::Propose { token, command };
+        let actions = core.step(at(710), event).unwrap();
+        !actions.contains(&ReplicaAction::RejectProposal { token })
+    };
+    assert!(propose(1, 300_000), "one large proposal is accepted");
+    assert!(!propose(2, 100_000));
+}
--- a/tests/storage.rs
+++ b/tests/storage.rs
@@ -9,8 +9,9 @@
 use disk::SimulatedDisk;
 use ebonyjunction::error::MeshError;
 use ebonyjunction::generated::command::Change;
-use ebonyjunction::generated::{Command, ExpireCommand, LogEntry};
+use ebonyjunction::generated::{Command, ExpireCommand, LogEntry, RouteChange};
 use ebonyjunction::storage::{FileStore, HardState, LogStore, SnapshotMeta};
+use prost::Message;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -33,6 +34,21 @@
     (from..=to).map(|index| entry(index, term)).collect()
 }
 
+/// Creates an entry with a command of about `bytes` bytes.
+fn large_entry(index: u64, bytes: usize) -> LogEntry {
+    let change = Change::Routes(RouteChange {
+        digest: vec![index as u8; bytes].into(),
+        ..RouteChange::default()
+    });
+    LogEntry {
+        index,
+        term: 1,
+        command: Some(Command {
+            change: Some(change),
+        }),
+    }
+}
+
 fn all_entries(store: &dyn LogStore) -> Vec<LogEntry> {
     store.entries(store.first_index(), usize::MAX)
 }
@@ -381,3 +397,24 @@
     let held = store.entries(from, usize::MAX);
     assert_eq!(held, model.entries(from, usize::MAX), "seed {seed}");
 }
+
+/// Guards against large entries that stay in memory after a snapshot because only their number is bounded.
+#[test]
+fn save_snapshot_bounds_retained_bytes() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut store = FileStore::open(folder.path()).unwrap();
+    let all: Vec<LogEntry> = (1..=100).map(|index| large_entry(index, 100_000)).collect();
+    store.append(&all).unwrap();
+    store.sync().unwrap();
+    let meta = SnapshotMeta {
+        last_index: 98,
+        last_term: 1,
+    };
+    store.save_snapshot(meta, b"state").unwrap();
+    let retained = store.entries(store.first_index(), usize::MAX);
+    let bytes: usize = retained.iter().map(Message::encoded_len).sum();
+    assert!(bytes <= 1_500_000, "{bytes} bytes are retained");
+    assert!(store.first_index() < 98, "a few covered entries stay");
+    assert_eq!(store.last_index(), 100);
+    assert_eq!(store.term_at(store.first_index() - 1), Some(1));
+}
