Never repeat a rejected request on the connection that carried the rejection

Callers saw: an endpoint rejects an order, its node sends the order to the same endpoint again on the same connection, and a late second copy of the rejection counts as the answer to that attempt, so the order is sent a third time and runs twice.

Cause: answers are matched by the request id, which all attempts share.

Change: a connection remembers the ids rejected on it and never carries them again; after 16 rejections it is closed. A copy of a rejection then arrives on an idle connection, which is closed, or bears the id of another request.

--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -40,6 +40,8 @@
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 const MAX_IDLE_CONNECTIONS: usize = 256;
+/// Number of rejected requests after which a connection is no longer reused.
+const MAX_REJECTED_IDS: usize = 16;
 
 #[derive(Debug)]
 struct TargetConnection {
@@ -48,6 +50,9 @@
     _task: AbortOnDropHandle<()>,
     idle_since: Instant,
     max_idle: Duration,
+    /// Ids of the requests that the target rejected on this connection. It may write a rejection once more, late; that copy
+    /// would count as the answer to the next attempt of the same request, which bears the same id.
+    rejected_ids: Vec<HeaderValue>,
 }
 
 /// Pool of connections to one target.
@@ -91,7 +96,7 @@
         is_at_most_once: bool,
     ) -> Result<AttemptResult, ExchangeFailure> {
         let interim = InterimBound::watch(&mut request);
-        let mut connection = self.connect(is_at_most_once).await?;
+        let mut connection = self.connect(request_id, is_at_most_once).await?;
         let broken = |error: hyper::Error| {
             if error.is_canceled() {
                 ExchangeFailure::Connect(error.to_string())
@@ -111,7 +116,11 @@
             .map_err(|failure| ExchangeFailure::Broken(failure.to_string()))?;
         let keeps_alive = Self::keep_alive(&head.headers);
         let result = self.classify_answer(head.status, head.headers, body, request_id);
-        let is_clean = !matches!(result, AttemptResult::Unknown { .. });
+        if matches!(result, AttemptResult::NotRun { .. }) {
+            connection.rejected_ids.push(request_id.clone());
+        }
+        let is_clean = !matches!(result, AttemptResult::Unknown { .. })
+            && connection.rejected_ids.len() < MAX_REJECTED_IDS;
         if let (true, Some(max_idle)) = (is_clean, keeps_alive) {
             connection.max_idle = max_idle;
             self.return_to_pool(connection);
@@ -135,8 +144,12 @@
         matches!(timeout(HEALTH_TIMEOUT, health_check).await, Ok(Some(true)))
     }
 
-    async fn connect(&self, is_at_most_once: bool) -> Result<TargetConnection, ExchangeFailure> {
-        if let Some(connection) = self.take_idle(is_at_most_once).await {
+    async fn connect(
+        &self,
+        request_id: &HeaderValue,
+        is_at_most_once: bool,
+    ) -> Result<TargetConnection, ExchangeFailure> {
+        if let Some(connection) = self.take_idle(request_id, is_at_most_once).await {
             return Ok(connection);
         }
         self.open().await
@@ -164,10 +177,15 @@
             _task: AbortOnDropHandle::new(task),
             idle_since: Instant::now(),
             max_idle: MAX_IDLE,
+            rejected_ids: Vec::new(),
         })
     }
 
-    async fn take_idle(&self, is_at_most_once: bool) -> Option<TargetConnection> {
+    async fn take_idle(
+        &self,
+        request_id: &HeaderValue,
+        is_at_most_once: bool,
+    ) -> Option<TargetConnection> {
         if lock(&self.idle).is_empty() {
             return None;
         }
@@ -183,9 +201,9 @@
         } else {
             MAX_IDLE
         };
-        let position = idle
-            .iter()
-            .rposition(|connection| connection.idle_since.elapsed() < bound)?;
+        let position = idle.iter().rposition(|connection| {
+            connection.idle_since.elapsed() < bound && !connection.rejected_ids.contains(request_id)
+        })?;
         Some(idle.remove(position))
     }
 
