Refuse heartbeats with values out of range

Cause: the control replicas refuse announcements of more than 1,000,000 slots, but the node accepted them; sequence number, start and id had no bound.

Change: the node checks a report before it has any effect and answers 400.

Deep nesting, ports out of range and numbers of another type were refused before too.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -4,5 +4,6 @@
 mod digest;
 mod lease_table;
 
+pub(crate) use convert::MAX_SLOTS;
 pub use digest::DirectoryDigests;
 pub use lease_table::{LeaseTable, TARGET_LEASE};
--- a/src/directory/convert.rs
+++ b/src/directory/convert.rs
@@ -5,7 +5,8 @@
 use crate::routing::{DirectoryUpdate, TargetRecord, TargetState};
 use crate::types::NodeId;
 
-const MAX_SLOTS: u32 = 1_000_000;
+/// Maximum number of slots that a target may announce.
+pub(crate) const MAX_SLOTS: u32 = 1_000_000;
 
 impl TargetRecord {
     /// Validates the announcement of a node. Returns `None` for a node without a target.
@@ -21,7 +22,8 @@
             return Ok(None);
         };
         if !(1..=MAX_SLOTS).contains(&target.slots) {
-            return Err(MeshError::invalid("slots", "must be 1 to 1000000"));
+            let detail = format!("must be 1 to {MAX_SLOTS}");
+            return Err(MeshError::invalid("slots", detail));
         }
         Ok(Some(Self {
             node_id,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -28,7 +28,7 @@
 mod sync;
 mod target_client;
 
-pub use announced_target::{AnnouncedTarget, ReportEffect, TargetReport};
+pub use announced_target::{AnnouncedTarget, ReportEffect, TargetReport, check_target_id};
 pub use answer::{Answer, AttemptResult};
 pub use config::{GatewayConfig, HeaderNames};
 pub use framing::{FramedRequest, FramingError, RequestFramer};
--- a/src/gateway/announced_target.rs
+++ b/src/gateway/announced_target.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::directory::MAX_SLOTS;
+use crate::error::{MeshError, Result};
 use crate::routing::TargetState;
 use crate::types::{ServiceName, TickTime};
 
@@ -11,6 +13,14 @@
 /// within seconds.
 const MAX_DEPARTED: usize = 64;
 
+/// Maximum length of a target's id, which is sent in a header with each request.
+const MAX_ID_BYTES: usize = 256;
+/// Largest sequence number, the largest integer that every writer of JSON represents exactly. A larger one would make all
+/// later reports look outdated.
+const MAX_SEQUENCE: u64 = 1 << 53;
+/// How far in the future a start may lie. A later one would make all other incarnations look outdated.
+const MAX_CLOCK_SKEW: Duration = Duration::from_hours(24);
+
 /// One report of the local target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetReport {
@@ -30,6 +40,35 @@
     pub state: TargetState,
 }
 
+impl TargetReport {
+    /// Checks the values that the mesh relies on when it orders reports and announces the target.
+    pub fn check(&self, unix_ms: u64) -> Result<()> {
+        check_target_id(&self.id)?;
+        if !(1..=MAX_SLOTS).contains(&self.slots) {
+            let detail = format!("must be 1 to {MAX_SLOTS}");
+            return Err(MeshError::invalid("slots", detail));
+        }
+        if self.sequence > MAX_SEQUENCE {
+            let detail = format!("must be at most {MAX_SEQUENCE}");
+            return Err(MeshError::invalid("sequence", detail));
+        }
+        if self.born_ms > unix_ms.saturating_add(MAX_CLOCK_SKEW.as_millis() as u64) {
+            return Err(MeshError::invalid("born", "lies in the future"));
+        }
+        Ok(())
+    }
+}
+
+/// Checks that a target's id can be sent in a header.
+pub fn check_target_id(id: &str) -> Result<()> {
+    let is_visible = id.bytes().all(|byte| byte.is_ascii_graphic());
+    if is_visible && (1..=MAX_ID_BYTES).contains(&id.len()) {
+        return Ok(());
+    }
+    let detail = format!("must be 1 to {MAX_ID_BYTES} visible ASCII characters");
+    Err(MeshError::invalid("id", detail))
+}
+
 /// Effect of a report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReportEffect {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,9 +13,10 @@
 use tokio_util::task::TaskTracker;
 use uuid::Uuid;
 
-use crate::clock::TickClock;
+use crate::clock::{TickClock, unix_millis};
 use crate::control_client::ControlClient;
 use crate::directory::DirectoryDigests;
+use crate::error::Result;
 use crate::generated::RouteSet;
 use crate::retry::{RetryBudget, RetryCause, RetrySettings};
 use crate::routes::RouteBook;
@@ -162,15 +163,17 @@
         &self.gate
     }
 
-    /// Applies a report of the local target and starts its confirmation if one is needed.
-    pub fn apply_report(self: &Arc<Self>, report: TargetReport) -> ReportEffect {
+    /// Applies a report of the local target and starts its confirmation if one is needed. A report with values out of
+    /// range is refused and changes nothing.
+    pub fn apply_report(self: &Arc<Self>, report: TargetReport) -> Result<ReportEffect> {
+        report.check(unix_millis())?;
         let verdict = self.gate.report(report);
         if verdict == ReportEffect::NewIncarnation
             && let Some(report) = self.gate.unconfirmed_report()
         {
             tokio::spawn(confirm_target(Arc::clone(self), report));
         }
-        verdict
+        Ok(verdict)
     }
 
     /// Triggers a heartbeat that announces a change of the local target to the control replicas.
