Follow the directory beside a row that cannot be read

Callers would see: a node that receives one odd row follows the directory no further, so its list of targets grows old.

Cause: an update was read as a whole or not at all.

Change: an unreadable row is logged and left out; a known target that it would have replaced is removed.

Evidence: directory_update_leaves_out_unreadable_rows fails before ("slots must be 1 to 1000000") and passes now, with the other tests of directory.

--- a/src/directory/convert.rs
+++ b/src/directory/convert.rs
@@ -88,16 +88,35 @@
     }
 }
 
-impl TryFrom<DirectoryDelta> for DirectoryUpdate {
-    type Error = MeshError;
-
-    fn try_from(delta: DirectoryDelta) -> Result<Self> {
-        let changed = delta.changed.iter().map(TargetRecord::try_from);
-        let removed = delta.removed.iter().map(|id| NodeId::try_from(id.as_ref()));
-        Ok(Self {
+impl From<DirectoryDelta> for DirectoryUpdate {
+    /// Reads an update. A row that cannot be read names no target to use, and the other rows hold: a node that refused the
+    /// whole update would follow the directory no further.
+    fn from(delta: DirectoryDelta) -> Self {
+        let mut update = Self {
             full: delta.full,
-            changed: changed.collect::<Result<_>>()?,
-            removed: removed.collect::<Result<_>>()?,
-        })
+            ..Self::default()
+        };
+        for node in &delta.changed {
+            match TargetRecord::try_from(node) {
+                Ok(record) => update.changed.push(record),
+                Err(error) => {
+                    log_unreadable(node.node_id.as_ref(), &error);
+                    update
+                        .removed
+                        .extend(NodeId::try_from(node.node_id.as_ref()));
+                }
+            }
+        }
+        for id in &delta.removed {
+            match NodeId::try_from(id.as_ref()) {
+                Ok(node_id) => update.removed.push(node_id),
+                Err(error) => log_unreadable(id, &error),
+            }
+        }
+        update
     }
 }
+
+fn log_unreadable(node_id: &[u8], error: &MeshError) {
+    log::warn!("event=directory_row_unreadable node={node_id:02x?} error={error:?}");
+}
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::sleep;
 
-use crate::error::{MeshError, Result};
+use crate::error::Result;
 use crate::generated::{
     DirectoryDelta, HeartbeatReply, HeartbeatRequest, NodeInfo, RouteDelta, TargetInfo,
 };
@@ -132,7 +132,7 @@
         apply_routes(state, delta)?;
     }
     if let Some(delta) = reply.directory {
-        apply_directory(state, &delta)?;
+        apply_directory(state, &delta);
     }
     Ok(())
 }
@@ -163,13 +163,13 @@
     Ok(())
 }
 
-fn apply_directory(state: &GatewayState, delta: &DirectoryDelta) -> Result<()> {
+fn apply_directory(state: &GatewayState, delta: &DirectoryDelta) {
     let changed = delta.changed.len() + delta.removed.len();
     let mut position = lock(&state.position);
     let is_older = delta.term < position.term
         || (delta.term == position.term && delta.revision < position.revision);
     if is_older {
-        return Ok(());
+        return;
     }
     if delta.full || changed > 0 {
         log::info!(
@@ -179,8 +179,7 @@
             delta.full
         );
     }
-    let update = DirectoryUpdate::try_from(delta.clone())
-        .map_err(|error| MeshError::invalid("directory", error.to_string()))?;
+    let update = DirectoryUpdate::from(delta.clone());
     lock(&state.held_directory).apply(delta);
     let mut table = lock(&state.table);
     table.apply_update(state.now(), update);
@@ -192,5 +191,4 @@
         term: delta.term,
         revision: delta.revision,
     };
-    Ok(())
 }
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -157,7 +157,7 @@
     lock(&state.shares).update(sent_at, now, &shares);
     state.rate_granted.notify_waiters();
     if let Some(delta) = reply.directory {
-        apply_directory(state, now, &delta)?;
+        apply_directory(state, now, &delta);
     }
     if is_confirmed && lock(&state.directory).is_known() {
         state.apply_lifecycle_event(&LifecycleEvent::PlansAndDirectoryReceived);
@@ -165,7 +165,7 @@
     Ok(())
 }
 
-fn apply_directory(state: &NodeState, now: TickTime, delta: &DirectoryDelta) -> Result<()> {
+fn apply_directory(state: &NodeState, now: TickTime, delta: &DirectoryDelta) {
     let next = DirectoryPosition {
         term: delta.term,
         revision: delta.revision,
@@ -179,9 +179,8 @@
             delta.full
         );
     }
-    let update = DirectoryUpdate::try_from(delta.clone())?;
+    let update = DirectoryUpdate::from(delta.clone());
     lock(&state.held_directory).apply(delta);
     lock(&state.routes).apply_update(now, update);
     *lock(&state.directory) = next;
-    Ok(())
 }
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -38,7 +38,7 @@
 type View = BTreeMap<NodeId, TargetRecord>;
 
 fn apply_delta(view: &mut View, delta: DirectoryDelta) {
-    let update = DirectoryUpdate::try_from(delta).unwrap();
+    let update = DirectoryUpdate::from(delta);
     for node_id in update.removed {
         view.remove(&node_id);
     }
@@ -208,3 +208,33 @@
     held.apply(&old.delta_since(TERM, 5, None));
     assert_eq!(held.digest(), 0);
 }
+
+// Guards against a node that drops a whole update of the directory because one of its rows cannot be read, and that uses a
+// target further whose row has become unreadable.
+#[test]
+fn directory_update_leaves_out_unreadable_rows() {
+    let whole = node(1, "orders", StateMessage::Ready);
+    let odd_slots = {
+        let mut row = node(2, "orders", StateMessage::Ready);
+        row.target.as_mut().unwrap().slots = u32::MAX;
+        row
+    };
+    let odd_port = NodeInfo {
+        mesh_address: "127.0.0.1:99999".into(),
+        ..node(3, "orders", StateMessage::Ready)
+    };
+    let odd_id = NodeInfo {
+        node_id: vec![4; 3].into(),
+        ..node(4, "orders", StateMessage::Ready)
+    };
+    let delta = DirectoryDelta {
+        changed: vec![odd_slots.clone(), whole.clone(), odd_port, odd_id],
+        removed: vec![vec![5; 2].into()],
+        ..DirectoryDelta::default()
+    };
+    let update = DirectoryUpdate::from(delta);
+    let ids: Vec<NodeId> = update.changed.iter().map(|row| row.node_id).collect();
+    assert_eq!(ids, [NodeId::try_from(whole.node_id.as_ref()).unwrap()]);
+    let odd = NodeId::try_from(odd_slots.node_id.as_ref()).unwrap();
+    assert!(update.removed.contains(&odd), "{:?}", update.removed);
+}
