Log and count the members of the replicated log

Cause: nothing on a running replica showed which voters and learners it counted, so a quorum that had grown could be seen only from the log files.

--- a/src/control_server/answers.rs
+++ b/src/control_server/answers.rs
@@ -272,5 +272,8 @@
         let _ = metrics.gauge("plan_version", state.plans().version());
         let _ = metrics.gauge("claims", state.claims_len() as u64);
         let _ = metrics.gauge("is_leader", u64::from(is_leader));
+        let membership = self.parts.core.membership();
+        let _ = metrics.gauge("voters", membership.voters.len() as u64);
+        let _ = metrics.gauge("learners", membership.learners.len() as u64);
     }
 }
--- a/src/control_server/replica.rs
+++ b/src/control_server/replica.rs
@@ -12,6 +12,7 @@
 use crate::consensus::{PeerMessage, ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaRole};
 use crate::control_state::ControlState;
 use crate::error::Result;
+use crate::generated::command::Change;
 use crate::generated::{Command, Membership, PlanSet, ReplicaInfo};
 use crate::storage::SnapshotMeta;
 use crate::types::TickTime;
@@ -222,6 +223,9 @@
         let route_version = self.parts.state.routes().version;
         let result = self.parts.state.apply(index, command);
         self.applied_term = term;
+        if let Some(Change::Membership(membership)) = &command.change {
+            log_membership(index, membership);
+        }
         if self.parts.state.plans().version() != version {
             self.update_plan_set();
         }
@@ -292,3 +296,11 @@
         }
     }
 }
+
+fn log_membership(index: u64, membership: &Membership) {
+    let ids = |members: &[ReplicaInfo]| -> Vec<u64> {
+        members.iter().map(|member| member.replica_id).collect()
+    };
+    let (voters, learners) = (ids(&membership.voters), ids(&membership.learners));
+    log::info!(event = "membership-in-force", index, voters:? = voters, learners:? = learners; "");
+}
