Keep a copy of a digest instead of the message that carried it

Cause: the digests of the last 2,048 changes were slices of the messages that carried them, so each one kept a whole configuration in memory.

Change: the digest is copied.

--- a/src/control_state/route_history.rs
+++ b/src/control_state/route_history.rs
@@ -74,7 +74,9 @@
         let mut replaced = std::mem::replace(&mut self.current, routes.clone());
         replaced.document = Bytes::new();
         self.keep_earlier(replaced);
-        self.digests.push_back(change.digest.clone());
+        // A clone would keep the whole message in memory from which the digest was decoded.
+        self.digests
+            .push_back(Bytes::copy_from_slice(&change.digest));
         if self.digests.len() > MAX_DIGESTS {
             self.digests.pop_front();
         }
--- a/tests/control_state.rs
+++ b/tests/control_state.rs
@@ -357,6 +357,28 @@
     }
 }
 
+// Guards against a digest of a few bytes that keeps the whole message in memory from which it was decoded.
+#[test]
+fn apply_releases_message_of_route_change() {
+    let message = Bytes::from(vec![7; 100_000]);
+    let change = RouteChange {
+        base_version: 0,
+        routes: Some(route_set(1, 3)),
+        digest: message.slice(..32),
+    };
+    let mut state = ControlState::new();
+    let change = Some(Change::Routes(change));
+    let result = state.apply(1, &Command { change });
+    assert!(matches!(result, ApplyResult::Routes(result) if result.accepted));
+    assert!(message.is_unique(), "the message is still referenced");
+
+    let snapshot = Bytes::from(state.snapshot());
+    let mut restored = ControlState::new();
+    restored.restore(&snapshot).unwrap();
+    assert!(snapshot.is_unique(), "the snapshot is still referenced");
+    assert_eq!(restored.snapshot(), snapshot);
+}
+
 // Guards against earlier versions of the routes that are bounded in number only, which takes memory in proportion to the
 // size of the configuration.
 #[test]
