--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -52,7 +52,7 @@
     max_idle: Duration,
     /// Ids of the requests that the target rejected on this connection. It may write a rejection once more, late; that copy
     /// would count as the answer to the next attempt of the same request, which bears the same id.
-    rejected_ids: Vec<HeaderValue>,
+    rejected_ids: Vec<Bytes>,
 }
 
 /// Pool of connections to one target.
@@ -117,7 +117,9 @@
         let keeps_alive = Self::keep_alive(&head.headers);
         let result = self.classify_answer(head.status, head.headers, body, request_id);
         if matches!(result, AttemptResult::NotRun { .. }) {
-            connection.rejected_ids.push(request_id.clone());
+            // A clone would keep the whole head in memory of which the id is a part.
+            let id = Bytes::copy_from_slice(request_id.as_bytes());
+            connection.rejected_ids.push(id);
         }
         let is_clean = !matches!(result, AttemptResult::Unknown { .. })
             && connection.rejected_ids.len() < MAX_REJECTED_IDS;
@@ -202,7 +204,11 @@
             MAX_IDLE
         };
         let position = idle.iter().rposition(|connection| {
-            connection.idle_since.elapsed() < bound && !connection.rejected_ids.contains(request_id)
+            let is_rejected = connection
+                .rejected_ids
+                .iter()
+                .any(|id| id == request_id.as_bytes());
+            connection.idle_since.elapsed() < bound && !is_rejected
         })?;
         Some(idle.remove(position))
     }
