--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -605,22 +605,9 @@
     }
 }
 
-/// Returns the number of commits before the first request for a snapshot.
-fn commits_before_snapshot(actions: &[ReplicaAction]) -> Option<usize> {
-    let is_request =
-        |action: &ReplicaAction| matches!(action, ReplicaAction::CreateSnapshot { .. });
-    let position = actions.iter().position(is_request)?;
-    let is_commit = |action: &&ReplicaAction| matches!(action, ReplicaAction::Commit { .. });
-    Some(actions[..position].iter().filter(is_commit).count())
-}
-
-// Guards against a log of large entries that is compacted by their number alone and outgrows the memory of its process.
-#[test]
-fn commit_large_entries_requests_snapshot() {
-    let settings = ReplicaSettings {
-        snapshot_log_bytes: 1_000_000,
-        ..ReplicaSettings::default()
-    };
+/// Commits three small entries and then 20 of 100,000 bytes, with the tokens 0 to 19, in one step of a leader. Returns the
+/// leader and the actions of that step.
+fn commit_large_entries(settings: ReplicaSettings) -> (ReplicaCore, Vec<ReplicaAction>) {
     let mut core = elect(replica_with(settings));
     for token in 0..20 {
         let command = large_command(100_000);
@@ -640,6 +627,26 @@
         message: PeerMessage::AppendReply(reply),
     };
     let actions = core.step(at(720), event).unwrap();
+    (core, actions)
+}
+
+/// Returns the number of commits before the first request for a snapshot.
+fn commits_before_snapshot(actions: &[ReplicaAction]) -> Option<usize> {
+    let is_request =
+        |action: &ReplicaAction| matches!(action, ReplicaAction::CreateSnapshot { .. });
+    let position = actions.iter().position(is_request)?;
+    let is_commit = |action: &&ReplicaAction| matches!(action, ReplicaAction::Commit { .. });
+    Some(actions[..position].iter().filter(is_commit).count())
+}
+
+// Guards against a log of large entries that is compacted by their number alone and outgrows the memory of its process.
+#[test]
+fn commit_large_entries_requests_snapshot() {
+    let settings = ReplicaSettings {
+        snapshot_log_bytes: 1_000_000,
+        ..ReplicaSettings::default()
+    };
+    let (_, actions) = commit_large_entries(settings);
     let commits = commits_before_snapshot(&actions).expect("a snapshot is requested");
     assert!(
         commits <= 14,
@@ -655,25 +662,7 @@
         max_commit_bytes: 300_000,
         ..ReplicaSettings::default()
     };
-    let mut core = elect(replica_with(settings));
-    for token in 0..20 {
-        let command = large_command(100_000);
-        let event = ReplicaEvent::Propose { token, command };
-        core.step(at(710), event).unwrap();
-    }
-    core.flush(at(710)).unwrap();
-    let reply = AppendReply {
-        term: core.term(),
-        accepted: true,
-        last_index: 23,
-        disk_id: disk(2),
-        sequence: 1,
-    };
-    let event = ReplicaEvent::Message {
-        from: 2,
-        message: PeerMessage::AppendReply(reply),
-    };
-    let mut actions = core.step(at(720), event).unwrap();
+    let (mut core, mut actions) = commit_large_entries(settings);
     let mut tokens = Vec::new();
     while !actions.is_empty() {
         let commits = actions.iter().filter_map(|action| match action {
