Log the attempt of each send and answers that do not show a run

An attempt is not named where its result is logged, so it can't be joined with its hand-over when a request goes to one node twice. A rejection by the endpoint, an answer to another request, and a send that is taken as unsent have no line.

Change: attempt and cancelled carry attempt_id; target_answer tells what an answer that shows no run was, on which connection and as which exchange; peer_unsent tells that an attempt counts as not written. No logic is changed.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -333,7 +333,7 @@
                 .await
         };
         log::info!(
-            "event=cancelled request_id={} peer={} not_run={is_not_run}",
+            "event=cancelled request_id={} attempt_id={attempt_id} peer={} not_run={is_not_run}",
             self.id,
             choice.address
         );
@@ -450,8 +450,9 @@
             _ => "attempt.unknown",
         });
         log::info!(
-            "event=attempt request_id={} service={} node={} peer={} outcome={outcome} detail={detail:?} span_ms={}",
+            "event=attempt request_id={} attempt_id={} service={} node={} peer={} outcome={outcome} detail={detail:?} span_ms={}",
             self.id,
+            self.hop.attempt_id,
             self.hop.service,
             choice.node_id,
             choice.address,
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -93,7 +93,11 @@
         };
         match self.exchange(link, message).await {
             Ok(result) => result,
-            Err(ExchangeFailure::Unsent) => not_run(RefusalReason::TargetDown),
+            Err(ExchangeFailure::Unsent) => {
+                let attempt_id = hop.attempt_id;
+                log::info!("event=peer_unsent peer={address} attempt_id={attempt_id}");
+                not_run(RefusalReason::TargetDown)
+            }
             Err(ExchangeFailure::Broken(detail)) => AttemptResult::Unknown { detail },
         }
     }
--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -50,17 +51,40 @@
     _task: AbortOnDropHandle<()>,
     idle_since: Instant,
     max_idle: Duration,
+    /// Number of the connection among those to the target.
+    number: u64,
+    /// Number of requests sent on the connection.
+    exchanges: u32,
     /// Ids of the requests that the target rejected on this connection. It may write a rejection once more, late; that copy
     /// would count as the answer to the next attempt of the same request, which bears the same id.
     rejected_ids: Vec<Bytes>,
 }
 
+impl TargetConnection {
+    /// Logs an answer that does not show that the request ran.
+    fn log_result(&self, request_id: &HeaderValue, status: StatusCode, result: &AttemptResult) {
+        let (outcome, detail) = match result {
+            AttemptResult::Ran { .. } => return,
+            AttemptResult::NotRun { reason, .. } => ("not-run", reason.as_str()),
+            AttemptResult::Unknown { detail } => ("unknown", detail.as_str()),
+        };
+        log::info!(
+            "event=target_answer request_id={} connection={} exchange={} status={} outcome={outcome} detail={detail:?}",
+            request_id.to_str().unwrap_or("malformed"),
+            self.number,
+            self.exchanges,
+            status.as_u16()
+        );
+    }
+}
+
 /// Pool of connections to one target.
 #[derive(Debug)]
 pub(super) struct TargetClient {
     address: SocketAddr,
     names: HeaderNames,
     memory: MemoryPool,
+    opened: AtomicU64,
     idle: Mutex<Vec<TargetConnection>>,
 }
 
@@ -79,6 +103,7 @@
             address,
             names,
             memory,
+            opened: AtomicU64::new(0),
             idle: Mutex::default(),
         }
     }
@@ -97,6 +122,7 @@
     ) -> Result<AttemptResult, ExchangeFailure> {
         let interim = InterimBound::watch(&mut request);
         let mut connection = self.connect(request_id, is_at_most_once).await?;
+        connection.exchanges += 1;
         let broken = |error: hyper::Error| {
             if error.is_canceled() {
                 ExchangeFailure::Connect(error.to_string())
@@ -115,7 +141,9 @@
             .await
             .map_err(|failure| ExchangeFailure::Broken(failure.to_string()))?;
         let keeps_alive = Self::keep_alive(&head.headers);
-        let result = self.classify_answer(head.status, head.headers, body, request_id);
+        let status = head.status;
+        let result = self.classify_answer(status, head.headers, body, request_id);
+        connection.log_result(request_id, status, &result);
         if matches!(result, AttemptResult::NotRun { .. }) {
             // A clone would keep the whole head in memory of which the id is a part.
             let id = Bytes::copy_from_slice(request_id.as_bytes());
@@ -179,6 +207,8 @@
             _task: AbortOnDropHandle::new(task),
             idle_since: Instant::now(),
             max_idle: MAX_IDLE,
+            number: self.opened.fetch_add(1, Ordering::Relaxed) + 1,
+            exchanges: 0,
             rejected_ids: Vec::new(),
         })
     }
