Refuse requests that come too late in a planned stop, and answer those still open

Cause: a stop decides which connections may bring another request, not whether there is time for it. A body that arrived slowly, or an order behind a slow request, was passed on seconds after the listener had closed. At the end of the grace the process ended beside open requests.

Change: once connections accepted last have had time for their first request, a request that starts is refused with 503, which states that it has not run; calls of running requests are still served. 200 ms before the process ends, open requests are given up: the node beside the endpoint is asked to forbid the attempt, and the answer is 503 if it has not run, else 504.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -32,10 +32,10 @@
 /// could occupy memory indefinitely.
 const MIN_BODY_BYTES_PER_S: f64 = 1_024.0;
 /// Time for the first request to arrive on a connection that was opened while the process stops.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which connections are still accepted after clients are no longer sent to this node. The kernel resets
 /// connections that have not been accepted when the listener closes.
-const LAST_ACCEPT_TIME: Duration = Duration::from_millis(100);
+pub(super) const LAST_ACCEPT_TIME: Duration = Duration::from_millis(100);
 /// Time limit for writing an answer. The connection is closed after it, so that the answer does not stay in memory.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Margin after the idle timeout before a connection is closed. Clients keep to the timeout themselves.
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -92,6 +92,11 @@
     if exchange.is_repeat() {
         state.record_upstream_retry(exchange.service());
     }
+    if exchange.is_too_late() {
+        let answer = refusal(state, RefusalReason::Stopping, Duration::ZERO);
+        exchange.log_answer(&answer);
+        return answer;
+    }
     if let Some(limit) = exchange.exceeded_limit() {
         let answer = exchange.refuse_chain(limit);
         exchange.log_answer(&answer);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -139,7 +139,7 @@
     /// Makes attempts until there is a final answer.
     pub(super) async fn run(&mut self) -> Answer {
         loop {
-            if self.state.now() >= self.end_at {
+            if self.state.now() >= self.end_at || self.state.ending.is_cancelled() {
                 return self.expired();
             }
             let choice = match self.choose() {
@@ -206,9 +206,13 @@
                 self.state.peers.send(choice.address, &self.hop).await
             }
         };
-        let result = timeout(self.hop.timeout, sending).await;
+        let result = tokio::select! {
+            biased;
+            result = timeout(self.hop.timeout, sending) => result.ok(),
+            () = self.state.ending.cancelled() => None,
+        };
         let span = self.state.now() - now;
-        let Ok(result) = result else {
+        let Some(result) = result else {
             self.log_attempt(&choice, "timeout", "", span);
             if self.cancel_attempt(&choice, is_own).await {
                 drop(in_flight);
@@ -356,16 +360,18 @@
         is_allowed
     }
 
-    /// Returns the answer for an expired deadline. Only if no target can have run the request is the answer a refusal, which
-    /// promises the client that the request has not run.
+    /// Returns the answer for an expired deadline or the end of the process. Only if no target can have run the request is
+    /// the answer a refusal, which promises the client that the request has not run.
     fn expired(&self) -> Answer {
+        let reason = if self.state.ending.is_cancelled() {
+            RefusalReason::Stopping
+        } else {
+            RefusalReason::DeadlineExceeded
+        };
         if self.attempts == 0 {
-            return self.give_up(RefusalReason::DeadlineExceeded, Duration::ZERO);
+            return self.give_up(reason, Duration::ZERO);
         }
-        Answer::own(
-            StatusCode::GATEWAY_TIMEOUT,
-            RefusalReason::DeadlineExceeded.as_str(),
-        )
+        Answer::own(StatusCode::GATEWAY_TIMEOUT, reason.as_str())
     }
 
     fn give_up(&self, reason: RefusalReason, wait: Duration) -> Answer {
@@ -375,6 +381,11 @@
         refusal(self.state, reason, wait)
     }
 
+    /// Returns whether the request comes too late in a planned stop. Calls of running requests are still served.
+    pub(super) fn is_too_late(&self) -> bool {
+        !self.hop.is_nested && self.state.is_past_acceptance()
+    }
+
     /// Returns the limit that the request's chain exceeds, if it is not likely to complete. Only requests that begin a chain
     /// are judged.
     pub(super) fn exceeded_limit(&self) -> Option<ReportedLimit> {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -11,7 +11,7 @@
 use crate::error::{MeshError, Result};
 
 use super::config::GatewayConfig;
-use super::connection::serve_clients;
+use super::connection::{FIRST_REQUEST_TIMEOUT, LAST_ACCEPT_TIME, serve_clients};
 use super::metrics::serve_metrics;
 use super::peer_server::serve_peers;
 use super::state::{GatewayState, lock};
@@ -22,6 +22,8 @@
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_600);
 /// Part of the stop timeout that is reserved for closing connections.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
+/// Time before the end of a stop at which requests that are still open are given up, so that their answers are written.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Interval at which waiting requests are checked for expiry.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -75,8 +77,13 @@
         let state = &self.state;
         let started = Instant::now();
         let bound = state.config.stop_timeout;
-        let deadline = started + bound.saturating_sub(STOP_RESERVE);
+        let work_time = bound.saturating_sub(STOP_RESERVE);
+        let deadline = started + work_time;
         log::info!("event=stopping bound_ms={}", bound.as_millis());
+        // Connections accepted last may still deliver their first request.
+        let accept_time = STOP_ACCEPT_TIME + LAST_ACCEPT_TIME + FIRST_REQUEST_TIMEOUT;
+        let accept_until = state.now() + accept_time.min(work_time);
+        state.accept_until.get_or_init(|| accept_until);
         state.is_stopping.store(true, Ordering::Relaxed);
         state.gate.stop();
         state.announce_soon();
@@ -89,6 +96,13 @@
         let drained = timeout_at(deadline, wait_for_work(state)).await.is_ok();
         state.closing.cancel();
         state.tasks.close();
+        let last_answer_at = started + bound.saturating_sub(LAST_ANSWER_TIME);
+        if timeout_at(last_answer_at, state.tasks.wait())
+            .await
+            .is_err()
+        {
+            state.ending.cancel();
+        }
         let closed = timeout_at(started + bound, state.tasks.wait())
             .await
             .is_ok();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -82,6 +82,10 @@
     pub(super) closing_clients: CancellationToken,
     /// Cancelled when connections from other nodes must close.
     pub(super) closing: CancellationToken,
+    /// Cancelled when requests that are still open must get a final answer, because the process ends.
+    pub(super) ending: CancellationToken,
+    /// Time until which requests are still accepted; set when a stop begins.
+    pub(super) accept_until: OnceLock<TickTime>,
     pub(super) tasks: TaskTracker,
 }
 
@@ -124,6 +128,8 @@
             active: AtomicUsize::new(0),
             closing_clients: CancellationToken::new(),
             closing: CancellationToken::new(),
+            ending: CancellationToken::new(),
+            accept_until: OnceLock::new(),
             tasks: TaskTracker::new(),
             config,
         }
@@ -158,6 +164,12 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns whether a request that starts now comes too late in a planned stop to be finished.
+    pub(super) fn is_past_acceptance(&self) -> bool {
+        let until = self.accept_until.get();
+        until.is_some_and(|until| self.now() > *until)
+    }
+
     /// Returns the gate that admits requests to the local target.
     pub fn gate(&self) -> &TargetGate {
         &self.gate
