Keep a hand-over until after the deadline of its request

Cause: the record of a hand-over was dropped a minute after the hand-over, also while the request still ran, and the node then answered that it had never been handed over.

Change: it is kept until a minute after the request's deadline. The memory of the record is bounded; at the bound the answer is unknown, never not run.

Evidence: forbid_long_request_while_it_runs fails with the old retention (at 61 s) and passes now.

--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -278,7 +278,7 @@
                 wait: Duration::ZERO,
             };
         }
-        let begun = lock(&self.state).begin_hand_over(started, self.oldest_report(), &request);
+        let begun = lock(&self.state).begin_hand_over(self.oldest_report(), &request, deadline);
         let target_id = match begun {
             Ok(target_id) => target_id,
             Err((reason, wait)) => return AttemptResult::NotRun { reason, wait },
--- a/src/gateway/gate_state.rs
+++ b/src/gateway/gate_state.rs
@@ -69,15 +69,16 @@
     /// lost after the request acquired its slot.
     pub(super) fn begin_hand_over(
         &mut self,
-        now: TickTime,
         oldest: TickTime,
         request: &HopRequest,
+        deadline: TickTime,
     ) -> Result<String, Refusal> {
         let Some(id) = self.ready(oldest).map(|target| target.id.clone()) else {
             return Err((RefusalReason::TargetDown, Duration::ZERO));
         };
         let (attempt_id, is_at_most_once) = (request.attempt_id, request.is_at_most_once);
-        refuse_unless_allowed(self.hand_overs.begin(now, attempt_id, is_at_most_once))?;
+        let verdict = self.hand_overs.begin(attempt_id, is_at_most_once, deadline);
+        refuse_unless_allowed(verdict)?;
         Ok(id)
     }
 
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -317,7 +317,7 @@
     let now = TickTime::from_millis(5);
     assert_eq!(record.check(id, true), HandOverDecision::Allowed);
     assert!(record.forbid(now, id));
-    assert_eq!(record.begin(now, id, true), HandOverDecision::Forbidden);
+    assert_eq!(record.begin(id, true, now), HandOverDecision::Forbidden);
 }
 
 // Guards against reporting an attempt as not run after it was handed over, and against handing over a copy of it.
@@ -326,10 +326,45 @@
     let id = AttemptId::from_uuid(uuid::Uuid::from_u128(8));
     let mut record = HandOverRecord::default();
     let now = TickTime::from_millis(5);
-    assert_eq!(record.begin(now, id, true), HandOverDecision::Allowed);
+    assert_eq!(record.begin(id, true, now), HandOverDecision::Allowed);
     assert!(!record.forbid(now, id));
-    assert_eq!(record.begin(now, id, true), HandOverDecision::Duplicate);
-    assert_eq!(record.begin(now, id, false), HandOverDecision::Allowed);
+    assert_eq!(record.begin(id, true, now), HandOverDecision::Duplicate);
+    assert_eq!(record.begin(id, false, now), HandOverDecision::Allowed);
+}
+
+// Guards against a payment that runs twice: it runs for over a minute, its connection is reset, and its hand-over has been
+// forgotten.
+#[test]
+fn forbid_long_request_while_it_runs() {
+    let id = AttemptId::from_uuid(uuid::Uuid::from_u128(9));
+    let mut record = HandOverRecord::default();
+    let deadline = at(600_000);
+    assert_eq!(record.begin(id, true, deadline), HandOverDecision::Allowed);
+    for now in [59_999, 61_000, 599_000, 601_000].map(at) {
+        record.expire(now);
+        assert!(!record.forbid(now, id), "at {now:?}");
+    }
+}
+
+// Guards against memory that grows with the rate of requests, and against an attempt that counts as not run because the
+// bound on memory dropped its hand-over.
+#[test]
+fn forbid_after_dropped_hand_over() {
+    let id = |number| AttemptId::from_uuid(uuid::Uuid::from_u128(number));
+    let mut record = HandOverRecord::with_capacity(2);
+    for number in 1..=3 {
+        let deadline = at(1_000 * number as u64);
+        assert_eq!(
+            record.begin(id(number), true, deadline),
+            HandOverDecision::Allowed
+        );
+    }
+    assert!(!record.forbid(at(5), id(1)), "a dropped hand-over");
+    assert_eq!(record.check(id(1), true), HandOverDecision::Forbidden);
+    assert!(!record.forbid(at(5), id(4)), "an attempt that never came");
+    assert!(!record.forbid(at(5), id(5)), "no memory to forbid it");
+    record.expire(at(61_000));
+    assert!(record.forbid(at(61_000), id(6)));
 }
 
 const CALLS_PER_REQUEST: usize = 4;
