Compare the hosts of routes without case where they are validated

Cause: validation compared hosts as written, the lookup in lower case.

Change: one function gives the form by which hosts are compared and looked up.

Evidence: route_book_compares_hosts_without_case failed before and passes now.

--- a/src/routes/book.rs
+++ b/src/routes/book.rs
@@ -1,5 +1,6 @@
 //! Validated routes of one version, with the lookup by host and path.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -88,6 +89,15 @@
     }
 }
 
+/// Returns the form of a host name by which routes are compared and looked up. Its case does not matter.
+pub(super) fn host_key(host: &str) -> Cow<'_, str> {
+    if host.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        Cow::Owned(host.to_ascii_lowercase())
+    } else {
+        Cow::Borrowed(host)
+    }
+}
+
 /// All routes of one version and the services that they refer to.
 #[derive(Debug, Clone, Default)]
 pub struct RouteBook {
@@ -156,12 +166,7 @@
     /// Finds the route of a host with the longest prefix that matches the path. A port after the host is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<RouteKey> {
         let host = host.split_once(':').map_or(host, |(name, _)| name);
-        let found = self.by_host.get(host);
-        let keys = match found {
-            Some(keys) => keys,
-            None => self.by_host.get(&host.to_ascii_lowercase())?,
-        };
-        let mut keys = keys.iter().copied();
+        let mut keys = self.by_host.get(host_key(host).as_ref())?.iter().copied();
         keys.find(|key| path.starts_with(&self.route(*key).prefix))
     }
 }
--- a/src/routes/convert.rs
+++ b/src/routes/convert.rs
@@ -11,7 +11,9 @@
 };
 use crate::types::ServiceName;
 
-use super::book::{RepeatKind, RouteBook, RouteEntry, RouteLimits, RoutePart, ServiceEntry};
+use super::book::{
+    RepeatKind, RouteBook, RouteEntry, RouteLimits, RoutePart, ServiceEntry, host_key,
+};
 
 /// Longest timeout that a route may have.
 const MAX_TIMEOUT: Duration = Duration::from_mins(10);
@@ -38,7 +40,7 @@
                 row,
                 findings: &mut findings,
             };
-            if !places.insert((row.host.as_str(), row.prefix.as_str())) {
+            if !places.insert((host_key(&row.host), row.prefix.as_str())) {
                 check.report("prefix", "another route has the same host and prefix");
             }
             routes.extend(check.read(&services));
@@ -145,7 +147,7 @@
         };
         Some(RouteEntry {
             name: row.name.clone(),
-            host: row.host.to_ascii_lowercase(),
+            host: host_key(&row.host).into_owned(),
             prefix: row.prefix.clone(),
             repeat_kind,
             attempts: row.attempts.max(1),
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -158,3 +158,19 @@
     let held = apply_delta(&RouteSet::default(), &whole).unwrap();
     assert_eq!(held.routes, second.routes);
 }
+
+// Guards against two routes of one place that are accepted because their hosts differ in case: requests for one of them
+// would run at the service of the other.
+#[test]
+fn route_book_compares_hosts_without_case() {
+    let mut other = row("b", "/a/", "stock");
+    other.host = "Shop.Example".to_owned();
+    let error = RouteBook::try_from(&set(1, vec![row("a", "/a/", "orders"), other.clone()]));
+    assert!(error.unwrap_err().to_string().contains("same host"));
+    other.prefix = "/b/".to_owned();
+    let book = RouteBook::try_from(&set(1, vec![row("a", "/a/", "orders"), other])).unwrap();
+    for host in ["shop.example", "SHOP.example", "shop.example:80"] {
+        let key = book.find(host, "/b/1").unwrap();
+        assert_eq!(book.route(key).name, "b");
+    }
+}
