Apply the limits in force to each request on a kept connection

Cause: the limits were read once, when the connection was accepted.

Change: they are set before each request is read. A request whose head has been read keeps those under which it began.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -269,6 +269,11 @@
     async fn start_requests(&mut self) -> io::Result<()> {
         while !self.is_last && self.pending.len() < MAX_PIPELINED {
             let had_partial_request = !self.share.is_empty();
+            // The limits may have changed since the connection was accepted.
+            let book = self.state.book();
+            let limits = book.limits();
+            self.framer
+                .set_limits(limits.header_bytes, limits.body_bytes);
             let next = match self.deferred.take() {
                 Some(request) => Some(request),
                 None => match self.framer.next_request() {
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -102,6 +102,14 @@
         }
     }
 
+    /// Sets the limits on requests whose head has not been read yet.
+    pub fn set_limits(&mut self, max_head_bytes: usize, max_body_bytes: u64) {
+        if self.partial.is_none() {
+            self.max_head_bytes = max_head_bytes;
+            self.max_body_bytes = max_body_bytes;
+        }
+    }
+
     /// Returns the buffer that received bytes are appended to.
     pub fn buffer_mut(&mut self) -> &mut BytesMut {
         &mut self.buffer
--- a/tests/request_framing.rs
+++ b/tests/request_framing.rs
@@ -129,3 +129,28 @@
     framer.buffer_mut().extend_from_slice(b"abc");
     assert_eq!(framer.next_request().unwrap().unwrap().body, "abc");
 }
+
+// Guards against a connection that keeps the limits of an earlier configuration, and against a body in flight that is
+// rejected because the limit was lowered meanwhile.
+#[test]
+fn set_limits_applies_to_next_request() {
+    let post = |body: &str| {
+        let length = body.len();
+        format!("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n{body}")
+    };
+    let long = post(&"x".repeat(100));
+    let mut framer = RequestFramer::new(HEAD_BYTES, BODY_BYTES);
+    framer.set_limits(HEAD_BYTES, 200);
+    let (first, rest) = long.as_bytes().split_at(long.len() - 10);
+    framer.buffer_mut().extend_from_slice(first);
+    assert!(framer.next_request().unwrap().is_none());
+    framer.set_limits(HEAD_BYTES, 50);
+    framer.buffer_mut().extend_from_slice(rest);
+    assert_eq!(framer.next_request().unwrap().unwrap().body.len(), 100);
+    framer.set_limits(HEAD_BYTES, 50);
+    framer.buffer_mut().extend_from_slice(long.as_bytes());
+    assert_eq!(
+        framer.next_request().unwrap_err(),
+        FramingError::BodyTooLarge
+    );
+}
