--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -4,7 +4,7 @@
 
 use std::fmt::Write as _;
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::sync::atomic::{AtomicU8, AtomicU16, Ordering};
@@ -46,26 +46,20 @@
     Ipv4Addr::new(127, 1 + number % 200, high, low.clamp(1, 254))
 }
 
-/// Reserves free ports by binding them for a moment.
+/// Returns addresses that no other mesh uses, with ports below the ephemeral range, which outgoing connections can take.
+///
+/// Nothing is bound here. A child that another test starts at that moment would hold the socket until its exec, and the
+/// process for which the port is meant could not listen.
 fn free_addresses(ip: Ipv4Addr, count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> = (0..count).map(|_| bind_next_port(ip)).collect();
-    let address = |listener: &TcpListener| listener.local_addr().expect("bound");
-    listeners.iter().map(address).collect()
-}
-
-/// Binds a port below the ephemeral range. A reserved port inside this range can be taken by an outgoing connection
-/// before the replica for which it was reserved has started.
-fn bind_next_port(ip: Ipv4Addr) -> TcpListener {
-    loop {
+    let next_address = || {
         let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         assert!(
             port < FIRST_EPHEMERAL_PORT,
             "no free port below {FIRST_EPHEMERAL_PORT}"
         );
-        if let Ok(listener) = TcpListener::bind((ip, port)) {
-            return listener;
-        }
-    }
+        SocketAddr::from((ip, port))
+    };
+    std::iter::repeat_with(next_address).take(count).collect()
 }
 
 /// Control replicas of one mesh.
@@ -230,7 +224,6 @@
         let folder = folder.expect("temporary folder");
         let ip = fleet_ip();
         let endpoints: usize = services.iter().map(|service| service.endpoints).sum();
-        // All ports are reserved together, because a port could be reserved again before its process has bound it.
         let mut free = free_addresses(ip, REPLICAS + PORTS_PER_ENDPOINT * endpoints);
         let listen = free.split_off(free.len() - REPLICAS);
         let advertised = advertise(&listen);
