Log what an endpoint names in its answers, and why a request is handed over

Change: line target_notice; hand_over carries nested, repeat and waited_ms. Nothing is decided by them yet.

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -23,6 +23,10 @@
     pub not_run: HeaderName,
     /// Identity of the target in its answer to a health check.
     pub target_id: HeaderName,
+    /// Requests per second that the target accepts from all nodes together, while it names this.
+    pub request_limit: HeaderName,
+    /// Present in the answers of a target that is leaving.
+    pub target_leaving: HeaderName,
     /// Present if the target confirms its answer; a successful answer without it is not accepted.
     pub seal: HeaderName,
 }
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -294,9 +294,12 @@
             }
         };
         log::info!(
-            "event=hand_over request_id={} attempt_id={} target={target_id:?} left_ms={}",
+            "event=hand_over request_id={} attempt_id={} target={target_id:?} nested={} repeat={} waited_ms={} left_ms={}",
             request.request_id.to_str().unwrap_or("malformed"),
             request.attempt_id,
+            request.is_nested,
+            request.is_repeat,
+            request.timeout.saturating_sub(time_left).as_millis(),
             time_left.as_millis()
         );
         let parent = self.parents.register(&request, deadline);
--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -141,6 +141,7 @@
             .await
             .map_err(|failure| ExchangeFailure::Broken(failure.to_string()))?;
         let keeps_alive = Self::keep_alive(&head.headers);
+        self.log_notice(&head.headers, request_id);
         let status = head.status;
         let result = self.classify_answer(status, head.headers, body, request_id);
         connection.log_result(request_id, status, &result);
@@ -158,6 +159,19 @@
         Ok(result)
     }
 
+    /// Logs what the target says about itself in an answer.
+    fn log_notice(&self, headers: &HeaderMap, request_id: &HeaderValue) {
+        let limit = headers.get(&self.names.request_limit);
+        let leaving = headers.get(&self.names.target_leaving);
+        if limit.is_none() && leaving.is_none() {
+            return;
+        }
+        log::info!(
+            "event=target_notice request_id={} limit={limit:?} leaving={leaving:?}",
+            request_id.to_str().unwrap_or("malformed")
+        );
+    }
+
     /// Checks on a new connection that the target accepts work and has the identity `id`.
     pub(super) async fn is_in_service(&self, health_path: &str, id: &str) -> bool {
         let health_check = async {
