--- a/src/admission.rs
+++ b/src/admission.rs
@@ -10,6 +10,7 @@
 mod limit;
 mod priority_histogram;
 mod queue;
+mod request_limit;
 mod running;
 mod service_time;
 mod settings;
@@ -18,6 +19,7 @@
 
 pub use chain_limit::{ChainLimit, ChainPosition, ReportedLimit};
 pub use control::AdmissionControl;
+pub use request_limit::RequestRate;
 pub use settings::AdmissionSettings;
 pub use slot_queue::{SlotAction, SlotDecision, SlotQueue, SlotRequest, WaitKey};
 pub use work::{OfferDecision, WorkAction, WorkKey, WorkRequest, WorkResult};
--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -1,4 +1,5 @@
-//! Concurrency slots of one target and the queue of requests that wait for one, ordered by urgency.
+//! Concurrency slots of one target and the queue of requests that wait for one, ordered by urgency. A target that names a limit
+//! on its requests per second gets them at that rate.
 //!
 //! A *nested* request is a call made by a request that is already running elsewhere; all others are *outer* requests.
 
@@ -9,6 +10,8 @@
 
 use crate::types::{ChainRank, TickTime};
 
+use super::request_limit::{RequestLimit, RequestRate};
+
 new_key_type! {
     /// Handle of a waiting request.
     pub struct WaitKey;
@@ -114,6 +117,7 @@
     sequence: u64,
     nested_time: ServiceTime,
     outer_time: ServiceTime,
+    limit: Option<RequestLimit>,
 }
 
 /// Moving average of the time for which nested or outer requests hold a slot.
@@ -167,6 +171,7 @@
             sequence: 0,
             nested_time: ServiceTime::default(),
             outer_time: ServiceTime::default(),
+            limit: None,
         }
     }
 
@@ -175,6 +180,26 @@
         self.slots = usable_slots(slots);
     }
 
+    /// Sets or removes the limit on requests per second. A limit that stays keeps the requests that it has counted.
+    pub fn set_limit(&mut self, now: TickTime, rate: Option<RequestRate>) {
+        match (rate, &mut self.limit) {
+            (Some(rate), Some(limit)) => limit.set_rate(now, rate),
+            (Some(rate), none) => *none = Some(RequestLimit::new(now, rate)),
+            (None, limit) => *limit = None,
+        }
+    }
+
+    /// Returns the limit on requests per second.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.limit.map(|limit| limit.rate())
+    }
+
+    /// Returns the time until the limit admits one more request than those that wait; `None` without a limit.
+    pub fn limit_wait(&self, now: TickTime) -> Option<Duration> {
+        let requests = self.entries.len() + 1;
+        self.limit.map(|limit| limit.time_until(now, requests))
+    }
+
     /// Returns the number of requests that hold a slot.
     pub fn running(&self) -> u32 {
         self.running
@@ -187,13 +212,15 @@
 
     /// Returns the expected wait of a request that would be queued last among nested or outer requests. Nested requests
     /// overtake equally urgent outer ones, so a nested request is assumed to wait only for other nested ones.
-    pub fn expected_wait(&self, is_nested: bool) -> Duration {
-        if self.running < self.slots {
-            return Duration::ZERO;
-        }
+    pub fn expected_wait(&self, now: TickTime, is_nested: bool) -> Duration {
         let nested = self.nested.len();
         let outer = if is_nested { 0 } else { self.outer.len() };
-        self.expected_wait_behind(WaitingCount { nested, outer }, is_nested)
+        let mut ahead = WaitingCount { nested, outer };
+        if self.running < self.slots {
+            ahead.add(is_nested);
+            return self.time_until_admitted(now, ahead);
+        }
+        self.expected_wait_behind(now, ahead, is_nested)
     }
 
     fn queue_mut(&mut self, is_nested: bool) -> &mut BTreeMap<WaitRank, WaitKey> {
@@ -220,7 +247,7 @@
         }
         let is_queue_empty = self.queue_mut(request.is_nested).is_empty();
         if self.may_start(now, request.is_nested) && is_queue_empty {
-            self.occupy(request.is_nested);
+            self.occupy(now, request.is_nested);
             return (SlotDecision::Start, actions);
         }
         self.sequence += 1;
@@ -234,8 +261,9 @@
             nested: self.nested.range(..rank).count(),
             outer: self.outer.range(..rank).count(),
         };
-        let wait = self.expected_wait_behind(ahead, request.is_nested);
-        if now + wait > self.latest_start(&request) || !self.displace_if_full(rank, &mut actions) {
+        let wait = self.expected_wait_behind(now, ahead, request.is_nested);
+        let can_start = now + wait <= self.latest_start(&request);
+        if !can_start || !self.displace_if_full(now, rank, &mut actions) {
             return (SlotDecision::Refuse { wait }, actions);
         }
         let key = self.entries.insert(WaitEntry { request, rank });
@@ -288,22 +316,23 @@
                 continue;
             };
             let is_nested = entry.request.is_nested;
-            if now + self.time_to_start(ahead, is_nested) > self.latest_start(&entry.request) {
+            let wait = self.time_to_start(now, ahead, is_nested);
+            if now + wait > self.latest_start(&entry.request) {
                 late.push(key);
             } else {
                 ahead.add(is_nested);
             }
         }
-        late.into_iter().map(|key| self.refuse(key)).collect()
+        late.into_iter().map(|key| self.refuse(now, key)).collect()
     }
 
     /// Refuses all waiting requests, for use when the target leaves or the process stops.
-    pub fn refuse_all(&mut self) -> Vec<SlotAction> {
+    pub fn refuse_all(&mut self, now: TickTime) -> Vec<SlotAction> {
         let keys: Vec<WaitKey> = self.entries.keys().collect();
-        keys.into_iter().map(|key| self.refuse(key)).collect()
+        keys.into_iter().map(|key| self.refuse(now, key)).collect()
     }
 
-    /// Starts waiting requests while slots are free.
+    /// Starts waiting requests while slots are free and the limit admits them.
     pub fn start_waiting(&mut self, now: TickTime) -> Vec<SlotAction> {
         let mut actions = Vec::new();
         while let Some(key) = self.next_startable(now) {
@@ -315,7 +344,7 @@
                 actions.push(SlotAction::Refuse(key, Duration::ZERO));
                 continue;
             }
-            self.occupy(entry.request.is_nested);
+            self.occupy(now, entry.request.is_nested);
             actions.push(SlotAction::Start(key));
         }
         actions
@@ -334,7 +363,8 @@
     /// Returns whether a request may take a free slot. While nested requests arrive, some slots are reserved for them, so
     /// that a nested call of 50 ms does not have to wait until one of many long outer requests ends.
     fn may_start(&self, now: TickTime, is_nested: bool) -> bool {
-        if self.running >= self.slots {
+        let is_admitted = self.limit.is_none_or(|limit| limit.has_token(now));
+        if self.running >= self.slots || !is_admitted {
             return false;
         }
         let has_recent_nested = self
@@ -355,7 +385,10 @@
         self.nested_load += NESTED_LOAD_WEIGHT * (load - self.nested_load);
     }
 
-    fn occupy(&mut self, is_nested: bool) {
+    fn occupy(&mut self, now: TickTime, is_nested: bool) {
+        if let Some(limit) = &mut self.limit {
+            limit.take(now);
+        }
         self.running += 1;
         self.running_nested += u32::from(is_nested);
     }
@@ -378,16 +411,21 @@
             .min(latest_for_deadline)
     }
 
-    fn refuse(&mut self, key: WaitKey) -> SlotAction {
+    fn refuse(&mut self, now: TickTime, key: WaitKey) -> SlotAction {
         let entry = self.entries.get(key);
         let is_nested = entry.is_some_and(|entry| entry.request.is_nested);
         self.cancel(key);
-        SlotAction::Refuse(key, self.expected_wait(is_nested))
+        SlotAction::Refuse(key, self.expected_wait(now, is_nested))
     }
 
     /// Displaces the waiting request of the greatest rank if the queue is full and `rank` is smaller. Returns whether a
     /// request of that rank can be queued.
-    fn displace_if_full(&mut self, rank: WaitRank, actions: &mut Vec<SlotAction>) -> bool {
+    fn displace_if_full(
+        &mut self,
+        now: TickTime,
+        rank: WaitRank,
+        actions: &mut Vec<SlotAction>,
+    ) -> bool {
         let max_waiting = self.slots as usize * MAX_WAITING_PER_SLOT;
         if self.entries.len() < max_waiting {
             return true;
@@ -396,7 +434,7 @@
         match last_entries.into_iter().flatten().max() {
             Some((last, key)) if *last > rank => {
                 let key = *key;
-                actions.push(self.refuse(key));
+                actions.push(self.refuse(now, key));
                 true
             }
             _ => false,
@@ -404,20 +442,39 @@
     }
 
     /// Returns the expected wait of a request that is queued behind `ahead` other requests.
-    fn expected_wait_behind(&self, mut ahead: WaitingCount, is_nested: bool) -> Duration {
+    fn expected_wait_behind(
+        &self,
+        now: TickTime,
+        mut ahead: WaitingCount,
+        is_nested: bool,
+    ) -> Duration {
         ahead.add(is_nested);
-        self.time_to_start(ahead, is_nested)
+        self.time_to_start(now, ahead, is_nested)
+    }
+
+    /// Returns the time until the limit has admitted the given numbers of waiting requests.
+    fn time_until_admitted(&self, now: TickTime, ahead: WaitingCount) -> Duration {
+        let requests = ahead.nested + ahead.outer;
+        let wait = self.limit.map(|limit| limit.time_until(now, requests));
+        wait.unwrap_or_default()
     }
 
     /// Returns the expected time until the given numbers of waiting requests have started.
-    fn time_to_start(&self, ahead: WaitingCount, is_nested: bool) -> Duration {
+    fn time_to_start(&self, now: TickTime, ahead: WaitingCount, is_nested: bool) -> Duration {
+        let slot_wait = self.time_to_slot(ahead, is_nested);
+        slot_wait.max(self.time_until_admitted(now, ahead))
+    }
+
+    fn time_to_slot(&self, ahead: WaitingCount, is_nested: bool) -> Duration {
         let (nested_s, outer_s) = (self.nested_time.seconds(), self.outer_time.seconds());
         let wait_s = if is_nested {
-            // Nested requests may use every slot that becomes free.
+            // Nested requests may use every slot that is free or becomes free.
+            let free = self.slots.saturating_sub(self.running) as usize;
+            let waiting = (ahead.nested + ahead.outer).saturating_sub(free);
             let running_outer = self.running.saturating_sub(self.running_nested);
             let freed_per_s =
                 f64::from(self.running_nested) / nested_s + f64::from(running_outer) / outer_s;
-            (ahead.nested + ahead.outer) as f64 / freed_per_s.max(f64::EPSILON)
+            waiting as f64 / freed_per_s.max(f64::EPSILON)
         } else {
             let work_s = nested_s * ahead.nested as f64 + outer_s * ahead.outer as f64;
             work_s / f64::from(self.slots.max(1))
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -17,6 +17,7 @@
 mod gate_state;
 mod hop;
 mod http_api;
+mod limit_usage;
 mod memory;
 mod metrics;
 mod parents;
@@ -27,6 +28,8 @@
 mod state;
 mod sync;
 mod target_client;
+mod target_notice;
+mod target_terms;
 
 pub use announced_target::{AnnouncedTarget, ReportEffect, TargetReport, check_target_id};
 pub use answer::{Answer, AttemptResult};
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,9 +20,10 @@
 use super::chain_limits::tighter;
 use super::entry::EntryRequest;
 use super::gate::CancelOutcome;
-use super::hop::{HopRequest, strip_connection_headers};
+use super::hop::{HopReply, HopRequest, LimitPolicy, strip_connection_headers};
 use super::parents::chain_rank;
 use super::state::{GatewayState, lock};
+use super::target_terms::TargetStatus;
 
 /// Number of excluded targets at which a refusal by a node ends the search and is returned to the client. Targets that
 /// refused the request themselves do not count. Each refusal costs a round trip.
@@ -30,6 +31,8 @@
 /// Refusals by targets themselves after which the client is refused. The retry budget bounds their total. With 12, a call
 /// that half of all targets refuse fails once in 4,000 times.
 const MAX_TARGET_REFUSALS: usize = 12;
+/// Refusals by targets whose limit is used up after which the request waits for the limit of the next one.
+const MAX_LIMIT_REFUSALS: usize = 3;
 /// Retry delay for clients when the expected wait is unknown: about one heartbeat.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Fraction of the latency objective within which the nearest target is fast enough; it is preferred because traffic
@@ -59,6 +62,10 @@
     /// Targets that refused the request themselves. They are tried again once no other target is left.
     refusing_targets: Vec<TargetKey>,
     target_refusals: usize,
+    /// Refusals by targets whose limit was used up.
+    limit_refusals: usize,
+    /// Shortest wait that such a refusal named.
+    limit_wait: Option<Duration>,
     /// The last answer failed because a downstream call was refused.
     is_downstream_failure: bool,
     /// Limit on chains that came with the last answer.
@@ -112,6 +119,8 @@
             objective: route.objective,
             timeout: route.timeout,
             refusal_time: Duration::ZERO,
+            when_limited: LimitPolicy::Refuse,
+            terms: None,
         };
         let mut end_at = arrived_at + deadline.min(route.timeout);
         if let Some(parent) = parent {
@@ -129,6 +138,8 @@
             excluded: Vec::new(),
             refusing_targets: Vec::new(),
             target_refusals: 0,
+            limit_refusals: 0,
+            limit_wait: None,
             is_downstream_failure: false,
             chain_limit: None,
             attempts: 0,
@@ -194,6 +205,13 @@
         self.hop.attempt_id = new_attempt_id();
         self.hop.timeout = self.end_at - now;
         self.hop.objective = self.objective_at - now;
+        let goes_on = choice.has_alternative && self.limit_refusals < MAX_LIMIT_REFUSALS;
+        self.hop.when_limited = if goes_on {
+            LimitPolicy::Refuse
+        } else {
+            LimitPolicy::Wait
+        };
+        self.hop.terms = lock(&self.state.terms).get(choice.address);
         let in_flight = InFlight {
             state: self.state,
             key: Some(choice.key),
@@ -222,6 +240,8 @@
             }
             return NextStep::Answer(self.expired());
         };
+        let HopReply { result, status } = result;
+        self.record_status(&choice, is_own, &status, &result);
         match result {
             AttemptResult::Ran {
                 answer,
@@ -289,6 +309,10 @@
 
     fn after_refusal(&mut self, key: TargetKey, reason: RefusalReason, wait: Duration) -> NextStep {
         self.refusals += 1;
+        if reason == RefusalReason::TargetLimited {
+            let shortest = self.limit_wait.map_or(wait, |known| known.min(wait));
+            self.limit_wait = Some(shortest);
+        }
         let may_go_on = match reason {
             // A request that reached a target is charged to the retry budget even if the target refused it.
             RefusalReason::TargetRefused | RefusalReason::TargetReplaced => {
@@ -296,6 +320,12 @@
                 self.target_refusals += 1;
                 self.target_refusals < MAX_TARGET_REFUSALS && self.try_retry(RetryCause::Refused)
             }
+            // The request is sent here again, to wait, once no other target has room.
+            RefusalReason::TargetLimited if self.hop.when_limited == LimitPolicy::Refuse => {
+                self.refusing_targets.push(key);
+                self.limit_refusals += 1;
+                true
+            }
             _ => {
                 if !self.excluded.contains(&key) {
                     self.excluded.push(key);
@@ -310,6 +340,25 @@
         }
     }
 
+    /// Records what the node beside the target reported about it.
+    fn record_status(
+        &self,
+        choice: &RouteChoice,
+        is_own: bool,
+        status: &TargetStatus,
+        result: &AttemptResult,
+    ) {
+        let now = self.state.now();
+        if let Some(wait) = status.limit_wait {
+            lock(&self.state.table).record_limit_wait(now, choice.key, wait);
+        }
+        if !is_own {
+            let has_run = matches!(result, AttemptResult::Ran { .. });
+            let mut terms = lock(&self.state.terms);
+            terms.record(now, choice.address, choice.node_id, status, has_run);
+        }
+    }
+
     async fn after_unknown_outcome(&mut self, choice: &RouteChoice, is_own: bool) -> NextStep {
         if self.may_repeat() {
             return NextStep::TryAnother;
@@ -378,6 +427,14 @@
         if self.attempts > 0 {
             return Answer::own(StatusCode::BAD_GATEWAY, reason.as_str());
         }
+        // The limits explain why no target is left, and when one has room.
+        let (reason, wait) = match (reason, self.limit_wait) {
+            (RefusalReason::NoTarget | RefusalReason::TargetLimited, Some(limit_wait)) => {
+                self.state.metrics.count("refused.target_limit");
+                (RefusalReason::TargetLimited, limit_wait)
+            }
+            other => (other.0, wait),
+        };
         refusal(self.state, reason, wait)
     }
 
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -20,12 +20,15 @@
 use super::announced_target::{AnnouncedTarget, ReportEffect, TargetReport};
 use super::answer::AttemptResult;
 use super::config::{GatewayConfig, HeaderNames};
-use super::gate_state::{GateState, Refusal, WaitingRequest};
-use super::hop::HopRequest;
+use super::gate_state::{GateState, Refusal, TermsState, WaitingRequest};
+use super::hop::{HopReply, HopRequest};
+use super::limit_usage::UsageReport;
 use super::memory::MemoryPool;
 use super::parents::{ParentTable, chain_rank};
 use super::state::lock;
-use super::target_client::{ExchangeFailure, TargetClient};
+use super::target_client::{ExchangeFailure, TargetAnswer, TargetClient};
+use super::target_notice::TargetNotice;
+use super::target_terms::TargetIdentity;
 
 /// Report intervals without a report after which the target counts as down. A report may be late by a second.
 const MAX_MISSED_REPORTS: u32 = 3;
@@ -69,6 +72,8 @@
             hand_overs: HandOverRecord::default(),
             connect_failures: 0,
             is_stopping: false,
+            terms: TermsState::default(),
+            usage: None,
         };
         Self {
             shared: Arc::new(GateShared {
@@ -89,6 +94,7 @@
         let verdict = state.target.report(now, report);
         if verdict == ReportEffect::NewIncarnation {
             self.shared.client.clear();
+            state.reset_terms(now);
         }
         if verdict != ReportEffect::Outdated {
             state.connect_failures = 0;
@@ -107,8 +113,18 @@
 
     /// Checks the health path of an incarnation and returns whether it confirmed that it accepts work.
     pub(super) async fn confirm(&self, report: &TargetReport, health_path: &str) -> bool {
+        let asked_at = self.shared.now();
         let client = &self.shared.client;
-        if !client.is_in_service(health_path, &report.id).await {
+        let Some(answer) = client.check_health(health_path, &report.id).await else {
+            return false;
+        };
+        let identity = TargetIdentity {
+            id: report.id.clone(),
+            born_ms: report.born_ms,
+        };
+        let notice = answer.notice;
+        self.shared.apply_notice(&identity, notice, asked_at, false);
+        if !answer.is_in_service {
             return false;
         }
         let now = self.shared.now();
@@ -167,13 +183,16 @@
         &self.shared.parents
     }
 
-    /// Refuses waiting requests that can no longer start in time. Must be called periodically.
-    pub(super) fn tick(&self) {
+    /// Starts waiting requests that the target's limit now admits, and refuses those that can no longer start in time. Must be
+    /// called periodically. Returns a report on the use of the limit when one is due.
+    pub(super) fn tick(&self) -> Option<UsageReport> {
         let now = self.shared.now();
         let mut state = lock(&self.shared.state);
-        let actions = state.queue.expire(now);
+        let mut actions = state.queue.start_waiting(now);
+        actions.extend(state.queue.expire(now));
         state.apply_actions(now, actions);
         state.hand_overs.expire(now);
+        state.take_usage(now)
     }
 
     /// Forbids an attempt. The result is final because a copy that arrives later is refused.
@@ -187,9 +206,20 @@
         }
     }
 
+    /// Runs a request at the target and returns the result with the state of the target.
+    pub(super) async fn handle(&self, request: HopRequest) -> HopReply {
+        if let Some(terms) = &request.terms {
+            let now = self.shared.now();
+            lock(&self.shared.state).adopt_terms(now, terms);
+        }
+        let result = self.run(request).await;
+        let status = lock(&self.shared.state).status(self.shared.now());
+        HopReply { result, status }
+    }
+
     /// Runs a request at the target. Dropping the future cancels the request, unless it is at-most-once and already has
     /// a slot.
-    pub(super) async fn handle(&self, request: HopRequest) -> AttemptResult {
+    async fn run(&self, request: HopRequest) -> AttemptResult {
         let shared = Arc::clone(&self.shared);
         let deadline = shared.now() + request.timeout;
         let slot = match shared.acquire(&request).await {
@@ -223,6 +253,7 @@
             let now = self.now();
             let mut state = lock(&self.state);
             state.check(self.oldest_report(), request)?;
+            state.check_limit(now, request.when_limited)?;
             let slot_request = SlotRequest {
                 is_nested: request.is_nested,
                 urgency: request.urgency,
@@ -234,7 +265,7 @@
             state.apply_actions(now, actions);
             match decision {
                 SlotDecision::Start => return Ok(SlotGuard::new(Arc::clone(self), request)),
-                SlotDecision::Refuse { wait } => return Err((RefusalReason::QueueFull, wait)),
+                SlotDecision::Refuse { wait } => return Err(state.queue_refusal(now, wait)),
                 SlotDecision::Wait(key) => {
                     let (sender, grant) = oneshot::channel();
                     let waiting = WaitingRequest {
@@ -279,11 +310,11 @@
             };
         }
         let begun = lock(&self.state).begin_hand_over(self.oldest_report(), &request, deadline);
-        let target_id = match begun {
-            Ok(target_id) => target_id,
+        let target = match begun {
+            Ok(target) => target,
             Err((reason, wait)) => return AttemptResult::NotRun { reason, wait },
         };
-        let message = match self.build_message(&request, &target_id, time_left) {
+        let message = match self.build_message(&request, &target.id, time_left) {
             Ok(message) => message,
             Err(detail) => {
                 log::warn!("event=hand_over_failed error={detail:?}");
@@ -294,9 +325,10 @@
             }
         };
         log::info!(
-            "event=hand_over request_id={} attempt_id={} target={target_id:?} nested={} repeat={} waited_ms={} left_ms={}",
+            "event=hand_over request_id={} attempt_id={} target={:?} nested={} repeat={} waited_ms={} left_ms={}",
             request.request_id.to_str().unwrap_or("malformed"),
             request.attempt_id,
+            target.id,
             request.is_nested,
             request.is_repeat,
             request.timeout.saturating_sub(time_left).as_millis(),
@@ -311,6 +343,13 @@
                 detail: "the target did not answer in time".to_owned(),
             };
         };
+        let outcome = outcome.map(|TargetAnswer { result, notice }| {
+            let has_run = matches!(result, AttemptResult::Ran { .. });
+            if let Some(notice) = notice {
+                self.apply_notice(&target, notice, started, has_run);
+            }
+            result
+        });
         let mut result = self.record_outcome(outcome);
         if let AttemptResult::Ran {
             answer,
@@ -322,11 +361,24 @@
             *is_downstream_failure = answer.status.is_server_error() && parent.has_refused_call();
             *chain_limit = parent.chain_limit();
             slot.service_time = Some(self.now() - started);
-            *wait = lock(&self.state).queue.expected_wait(request.is_nested);
+            *wait = lock(&self.state)
+                .queue
+                .expected_wait(self.now(), request.is_nested);
         }
         result
     }
 
+    fn apply_notice(
+        &self,
+        target: &TargetIdentity,
+        notice: TargetNotice,
+        handed_over_at: TickTime,
+        has_run: bool,
+    ) {
+        let mut state = lock(&self.state);
+        state.apply_notice(self.now(), target, notice, handed_over_at, has_run);
+    }
+
     fn record_outcome(&self, outcome: Result<AttemptResult, ExchangeFailure>) -> AttemptResult {
         let mut state = lock(&self.state);
         match outcome {
--- a/src/gateway/gate_state.rs
+++ b/src/gateway/gate_state.rs
@@ -5,13 +5,16 @@
 
 use tokio::sync::oneshot;
 
-use crate::admission::{SlotAction, SlotQueue, WaitKey};
+use crate::admission::{RequestRate, SlotAction, SlotQueue, WaitKey};
 use crate::retry::{HandOverDecision, HandOverRecord};
 use crate::routing::TargetState;
 use crate::types::{RefusalReason, TickTime};
 
 use super::announced_target::{AnnouncedTarget, TargetReport};
-use super::hop::HopRequest;
+use super::hop::{HopRequest, LimitPolicy};
+use super::limit_usage::{LimitUsage, UsageReport};
+use super::target_notice::{LimitNotice, TargetNotice};
+use super::target_terms::{TargetIdentity, TargetStatus, TargetTerms};
 
 /// Reason for a refusal and the expected wait until a slot is free.
 pub(super) type Refusal = (RefusalReason, Duration);
@@ -25,6 +28,20 @@
     pub(super) hand_overs: HandOverRecord,
     pub(super) connect_failures: u32,
     pub(super) is_stopping: bool,
+    pub(super) terms: TermsState,
+    /// Use of the target's limit while there is one.
+    pub(super) usage: Option<LimitUsage>,
+}
+
+/// Knowledge about the terms of the incarnation in use.
+#[derive(Debug, Default)]
+pub(super) struct TermsState {
+    /// Number of changes of the terms.
+    revision: u64,
+    /// Time of the last answer in which the incarnation named a limit.
+    named_at: Option<TickTime>,
+    /// The incarnation has answered a request, so other nodes do not know its limit any better.
+    has_answered: bool,
 }
 
 /// Request that waits for a slot.
@@ -65,6 +82,136 @@
         Ok(())
     }
 
+    fn identity(&self) -> Option<TargetIdentity> {
+        let current = self.target.current()?;
+        Some(TargetIdentity {
+            id: current.id.clone(),
+            born_ms: current.born_ms,
+        })
+    }
+
+    /// Returns the terms in force and the load, for the sender of a request.
+    pub(super) fn status(&self, now: TickTime) -> TargetStatus {
+        let limit = self.queue.limit();
+        let identity = self.identity().filter(|_| limit.is_some());
+        TargetStatus {
+            terms: identity.map(|identity| TargetTerms { identity, limit }),
+            revision: self.terms.revision,
+            limit_wait: self.queue.limit_wait(now),
+        }
+    }
+
+    /// Applies what the target said in its answer to a request that was handed over at `handed_over_at`.
+    pub(super) fn apply_notice(
+        &mut self,
+        now: TickTime,
+        identity: &TargetIdentity,
+        notice: TargetNotice,
+        handed_over_at: TickTime,
+        has_run: bool,
+    ) {
+        if self.identity().as_ref() != Some(identity) {
+            return;
+        }
+        match notice.limit {
+            LimitNotice::Named(rate) => {
+                self.terms.named_at = Some(now);
+                self.terms.has_answered = true;
+                self.set_limit(now, Some(rate), "answer");
+            }
+            // An answer may have been written before one that named a limit and arrive after it, unless its request was
+            // handed over later.
+            LimitNotice::Absent if has_run => {
+                let named_at = self.terms.named_at;
+                if named_at.is_none_or(|named_at| handed_over_at >= named_at) {
+                    self.terms.has_answered = true;
+                    self.set_limit(now, None, "answer");
+                }
+            }
+            LimitNotice::Absent | LimitNotice::Unreadable => {}
+        }
+    }
+
+    /// Adopts terms that another node has received earlier, if this node has not heard from the target since its own start.
+    pub(super) fn adopt_terms(&mut self, now: TickTime, terms: &TargetTerms) {
+        if self.identity().as_ref() != Some(&terms.identity) {
+            return;
+        }
+        if terms.limit.is_some() && !self.terms.has_answered && self.queue.limit().is_none() {
+            self.set_limit(now, terms.limit, "peer");
+        }
+    }
+
+    /// Forgets the terms of the previous incarnation.
+    pub(super) fn reset_terms(&mut self, now: TickTime) {
+        self.set_limit(now, None, "new-incarnation");
+        self.terms.named_at = None;
+        self.terms.has_answered = false;
+    }
+
+    fn set_limit(&mut self, now: TickTime, rate: Option<RequestRate>, source: &str) {
+        let known = self.queue.limit();
+        if rate == known {
+            return;
+        }
+        self.terms.revision += 1;
+        let usage = self.usage.get_or_insert_with(|| LimitUsage::new(now));
+        usage.advance(now, known);
+        self.queue.set_limit(now, rate);
+        let show = |rate: Option<RequestRate>| rate.map_or(-1.0, RequestRate::per_second);
+        log::info!(
+            "event=target_limit per_s={} previous_per_s={} source={source} running={} waiting={}",
+            show(rate),
+            show(known),
+            self.queue.running(),
+            self.queue.waiting()
+        );
+        let actions = self.queue.start_waiting(now);
+        self.apply_actions(now, actions);
+    }
+
+    /// Refuses a request that would have to wait for the limit although its sender knows another target.
+    pub(super) fn check_limit(
+        &mut self,
+        now: TickTime,
+        policy: LimitPolicy,
+    ) -> Result<(), Refusal> {
+        let wait = self.queue.limit_wait(now).unwrap_or_default();
+        if policy == LimitPolicy::Wait || wait.is_zero() {
+            return Ok(());
+        }
+        Err(self.refuse_by_limit(wait))
+    }
+
+    fn refuse_by_limit(&mut self, wait: Duration) -> Refusal {
+        if let Some(usage) = &mut self.usage {
+            usage.count_refused();
+        }
+        (RefusalReason::TargetLimited, wait)
+    }
+
+    /// Returns the refusal of a request that the queue does not accept.
+    pub(super) fn queue_refusal(&mut self, now: TickTime, wait: Duration) -> Refusal {
+        let limit_wait = self.queue.limit_wait(now).unwrap_or_default();
+        if limit_wait.is_zero() {
+            return (RefusalReason::QueueFull, wait);
+        }
+        self.refuse_by_limit(wait)
+    }
+
+    /// Returns a report on the use of the limit when one is due, and when the limit has ended.
+    pub(super) fn take_usage(&mut self, now: TickTime) -> Option<UsageReport> {
+        let limit = self.queue.limit();
+        let usage = self.usage.as_mut()?;
+        usage.advance(now, limit);
+        if limit.is_some() && !usage.is_due(now) {
+            return None;
+        }
+        let report = usage.report(limit);
+        self.usage = limit.is_some().then(|| LimitUsage::new(now));
+        Some(report)
+    }
+
     /// Records the hand-over and returns the identity of the target. Fails if the request was cancelled or the target was
     /// lost after the request acquired its slot.
     pub(super) fn begin_hand_over(
@@ -72,14 +219,17 @@
         oldest: TickTime,
         request: &HopRequest,
         deadline: TickTime,
-    ) -> Result<String, Refusal> {
-        let Some(id) = self.ready(oldest).map(|target| target.id.clone()) else {
+    ) -> Result<TargetIdentity, Refusal> {
+        let Some(identity) = self.ready(oldest).and_then(|_| self.identity()) else {
             return Err((RefusalReason::TargetDown, Duration::ZERO));
         };
         let (attempt_id, is_at_most_once) = (request.attempt_id, request.is_at_most_once);
         let verdict = self.hand_overs.begin(attempt_id, is_at_most_once, deadline);
         refuse_unless_allowed(verdict)?;
-        Ok(id)
+        if let Some(usage) = &mut self.usage {
+            usage.count_served();
+        }
+        Ok(identity)
     }
 
     /// Updates the queue to the slots and the state of the target in use.
@@ -91,7 +241,7 @@
                 self.queue.set_slots(slots);
                 self.queue.start_waiting(now)
             }
-            None => self.queue.refuse_all(),
+            None => self.queue.refuse_all(now),
         };
         self.apply_actions(now, actions);
     }
--- a/src/gateway/hop.rs
+++ b/src/gateway/hop.rs
@@ -17,6 +17,7 @@
 use crate::types::{AttemptId, RefusalReason, ServiceName};
 
 use super::answer::{Answer, AttemptResult};
+use super::target_terms::{TargetStatus, TargetTerms};
 
 const SERVICE: HeaderName = HeaderName::from_static("ebj-service");
 const CALLER: HeaderName = HeaderName::from_static("ebj-caller");
@@ -31,10 +32,14 @@
 const CAUSE: HeaderName = HeaderName::from_static("ebj-cause");
 const CHAIN_LIMIT: HeaderName = HeaderName::from_static("ebj-chain-limit");
 const WAIT_MS: HeaderName = HeaderName::from_static("ebj-wait-ms");
+const TARGET_TERMS: HeaderName = HeaderName::from_static("ebj-target-terms");
+const TERMS_REVISION: HeaderName = HeaderName::from_static("ebj-terms-revision");
+const LIMIT_WAIT_MS: HeaderName = HeaderName::from_static("ebj-limit-wait-ms");
 const DOWNSTREAM_CAUSE: HeaderValue = HeaderValue::from_static("downstream");
 const FLAG_NESTED: u8 = 1;
 const FLAG_AT_MOST_ONCE: u8 = 2;
 const FLAG_REPEAT: u8 = 4;
+const FLAG_WAITS_FOR_LIMIT: u8 = 8;
 
 /// Time reserved for a refusal to reach the sender: a tick of the queue, a round trip between regions, and the processing
 /// on two busy nodes. Without it the sender of a request that waits until its deadline would time out and could not tell
@@ -52,6 +57,15 @@
     HeaderName::from_static("keep-alive"),
 ];
 
+/// What becomes of a request that the target's limit does not admit at present.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LimitPolicy {
+    /// It waits, because the sender knows no other target with room.
+    Wait,
+    /// It is refused, so that the sender can use another target.
+    Refuse,
+}
+
 /// One attempt to run a request at a target of a service.
 #[derive(Debug, Clone)]
 pub(super) struct HopRequest {
@@ -78,6 +92,23 @@
     pub(super) timeout: Duration,
     /// Time that a refusal needs to reach the sender. It is not part of the message.
     pub(super) refusal_time: Duration,
+    pub(super) when_limited: LimitPolicy,
+    /// Terms of the target that the sender has received with earlier answers.
+    pub(super) terms: Option<TargetTerms>,
+}
+
+/// Result of an attempt, with the state of the target.
+#[derive(Debug, Clone)]
+pub(super) struct HopReply {
+    pub(super) result: AttemptResult,
+    pub(super) status: TargetStatus,
+}
+
+impl From<AttemptResult> for HopReply {
+    fn from(result: AttemptResult) -> Self {
+        let status = TargetStatus::default();
+        Self { result, status }
+    }
 }
 
 /// Removes hop-by-hop headers and the mesh's own headers.
@@ -106,6 +137,12 @@
         if self.is_repeat {
             flags |= FLAG_REPEAT;
         }
+        if self.when_limited == LimitPolicy::Wait {
+            flags |= FLAG_WAITS_FOR_LIMIT;
+        }
+        if let Some(terms) = &self.terms {
+            headers.insert(TARGET_TERMS, terms_value(terms)?);
+        }
         let attempt = Uuid::from_bytes(*self.attempt_id.as_bytes());
         let fields = [
             (SERVICE, self.service.to_string()),
@@ -156,6 +193,12 @@
             objective: Duration::from_millis(header_number(&headers, &OBJECTIVE_MS)?),
             timeout: Duration::from_millis(header_number(&headers, &TIMEOUT_MS)?),
             refusal_time: REFUSAL_TIME,
+            when_limited: if flags & FLAG_WAITS_FOR_LIMIT != 0 {
+                LimitPolicy::Wait
+            } else {
+                LimitPolicy::Refuse
+            },
+            terms: read_terms(&headers),
             headers: HeaderMap::new(),
         };
         strip_connection_headers(&mut headers);
@@ -186,12 +229,62 @@
     }
 }
 
+fn terms_value(terms: &TargetTerms) -> Result<HeaderValue> {
+    let text = terms.to_string();
+    HeaderValue::from_str(&text).map_err(|error| invalid("target terms", error.to_string()))
+}
+
+fn read_terms(headers: &HeaderMap) -> Option<TargetTerms> {
+    let value = headers.get(TARGET_TERMS)?;
+    match TargetTerms::try_from(value.to_str().unwrap_or_default()) {
+        Ok(terms) => Some(terms),
+        Err(error) => {
+            log::warn!("event=target_terms_malformed error={:?}", error.to_string());
+            None
+        }
+    }
+}
+
+fn insert_status(headers: &mut HeaderMap, status: &TargetStatus) {
+    if status.revision > 0 {
+        headers.insert(TERMS_REVISION, HeaderValue::from(status.revision));
+    }
+    if let Some(wait) = status.limit_wait {
+        headers.insert(LIMIT_WAIT_MS, HeaderValue::from(wait.as_millis() as u64));
+    }
+    match status.terms.as_ref().map(terms_value) {
+        Some(Ok(value)) => drop(headers.insert(TARGET_TERMS, value)),
+        Some(Err(error)) => {
+            log::warn!(
+                "event=target_terms_not_encoded error={:?}",
+                error.to_string()
+            );
+        }
+        None => {}
+    }
+}
+
+fn read_status(headers: &HeaderMap) -> TargetStatus {
+    let limit_wait = header_number(headers, &LIMIT_WAIT_MS).ok();
+    TargetStatus {
+        terms: read_terms(headers),
+        revision: header_number(headers, &TERMS_REVISION).unwrap_or_default(),
+        limit_wait: limit_wait.map(Duration::from_millis),
+    }
+}
+
 fn invalid(field: &'static str, detail: impl Into<String>) -> MeshError {
     MeshError::invalid(field, detail)
 }
 
-/// Encodes the result of an attempt as the response to another node.
-pub(super) fn encode_result(result: AttemptResult) -> http::Response<Full<Bytes>> {
+/// Encodes the result of an attempt and the state of the target as the response to another node.
+pub(super) fn encode_reply(reply: HopReply) -> http::Response<Full<Bytes>> {
+    let mut response = encode_result(reply.result);
+    insert_status(response.headers_mut(), &reply.status);
+    response
+}
+
+fn encode_result(result: AttemptResult) -> http::Response<Full<Bytes>> {
     let mut response = http::Response::new(Full::default());
     match result {
         AttemptResult::Ran {
@@ -231,8 +324,15 @@
     response
 }
 
-/// Decodes the result of an attempt from another node. Without a valid outcome header the result is unknown.
-pub(super) fn decode_result(head: http::response::Parts, body: Bytes) -> AttemptResult {
+/// Decodes the result of an attempt and the state of the target from another node. Without a valid outcome header the result
+/// is unknown.
+pub(super) fn decode_reply(head: http::response::Parts, body: Bytes) -> HopReply {
+    let status = read_status(&head.headers);
+    let result = decode_result(head, body);
+    HopReply { result, status }
+}
+
+fn decode_result(head: http::response::Parts, body: Bytes) -> AttemptResult {
     let outcome = head.headers.get(OUTCOME).map(HeaderValue::as_bytes);
     match outcome {
         Some(b"ran") => {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -13,8 +13,11 @@
 use http::{Method, StatusCode};
 use tokio::net::TcpListener;
 
+use crate::admission::RequestRate;
 use crate::error::{MeshError, Result};
 
+use super::limit_usage::UsageReport;
+
 use super::http_api::{ApiHandler, ApiRequest, ApiResponse, serve_api};
 use super::state::lock;
 
@@ -128,6 +131,23 @@
         let _ = self.client.incr(name);
     }
 
+    /// Shows how much of the target's limit was served.
+    pub(super) fn show_usage(&self, report: &UsageReport) {
+        let per_s = report.limit.map_or(0.0, RequestRate::per_second);
+        let is_limited = f64::from(u8::from(report.limit.is_some()));
+        let _ = self.client.gauge("target_limit.in_force", is_limited);
+        let _ = self.client.gauge("target_limit.per_s", per_s);
+        let _ = self
+            .client
+            .gauge("target_limit.served_share", report.served_share());
+        let _ = self
+            .client
+            .count("target_limit.served", i64::from(report.served));
+        let _ = self
+            .client
+            .count("target_limit.refused", i64::from(report.refused));
+    }
+
     pub(super) fn time(&self, name: &str, span: Duration) {
         let _ = self.client.time(name, span);
     }
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -22,7 +22,7 @@
 
 use super::answer::AttemptResult;
 use super::body::read_whole;
-use super::hop::{HopRequest, decode_result};
+use super::hop::{HopReply, HopRequest, decode_reply};
 use super::memory::MemoryPool;
 use super::state::lock;
 
@@ -76,29 +76,29 @@
     }
 
     /// Sends an attempt and reads the result. Dropping the future cancels it at the other node.
-    pub(super) async fn send(&self, address: SocketAddr, hop: &HopRequest) -> AttemptResult {
+    pub(super) async fn send(&self, address: SocketAddr, hop: &HopRequest) -> HopReply {
         let message = match hop.encode(&address.to_string()) {
             Ok(message) => message,
             Err(error) => {
                 log::warn!("event=hop_not_encoded error={:?}", error.to_string());
-                return not_run(RefusalReason::BadRequest);
+                return not_run(RefusalReason::BadRequest).into();
             }
         };
         let link = match self.link(address).await {
             Ok(link) => link,
             Err(detail) => {
                 log::info!("event=peer_unreachable peer={address} error={detail:?}");
-                return not_run(RefusalReason::TargetDown);
+                return not_run(RefusalReason::TargetDown).into();
             }
         };
         match self.exchange(link, message).await {
-            Ok(result) => result,
+            Ok(reply) => reply,
             Err(ExchangeFailure::Unsent) => {
                 let attempt_id = hop.attempt_id;
                 log::info!("event=peer_unsent peer={address} attempt_id={attempt_id}");
-                not_run(RefusalReason::TargetDown)
+                not_run(RefusalReason::TargetDown).into()
             }
-            Err(ExchangeFailure::Broken(detail)) => AttemptResult::Unknown { detail },
+            Err(ExchangeFailure::Broken(detail)) => AttemptResult::Unknown { detail }.into(),
         }
     }
 
@@ -123,7 +123,8 @@
         *message.uri_mut() = uri;
         let cancelling = async {
             let link = self.link(address).await.ok()?;
-            self.exchange(link, message).await.ok()
+            let reply = self.exchange(link, message).await.ok()?;
+            Some(reply.result)
         };
         let result = timeout(CANCEL_TIMEOUT, cancelling).await;
         matches!(result, Ok(Some(AttemptResult::NotRun { .. })))
@@ -133,7 +134,7 @@
         &self,
         mut link: PeerConnection,
         mut message: Request<Full<Bytes>>,
-    ) -> Result<AttemptResult, ExchangeFailure> {
+    ) -> Result<HopReply, ExchangeFailure> {
         if let Some(token) = &self.token {
             message.headers_mut().insert(MESH_TOKEN_KEY, token.clone());
         }
@@ -144,7 +145,7 @@
         };
         let (head, body) = response.into_parts();
         match read_whole(body, MAX_ANSWER_BYTES, &self.memory).await {
-            Ok(body) => Ok(decode_result(head, body)),
+            Ok(body) => Ok(decode_reply(head, body)),
             Err(failure) => Err(broken(&failure)),
         }
     }
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -20,7 +20,7 @@
 use super::answer::AttemptResult;
 use super::body::read_whole;
 use super::gate::CancelOutcome;
-use super::hop::{HopRequest, encode_result};
+use super::hop::{HopRequest, encode_reply};
 use super::peer_client::CANCEL_PATH;
 use super::state::GatewayState;
 
@@ -92,7 +92,7 @@
         let Some((node_id, attempt_id)) = parse_cancel(attempt) else {
             return Ok(empty_response(StatusCode::BAD_REQUEST));
         };
-        return Ok(encode_result(cancel(&state, node_id, attempt_id)));
+        return Ok(encode_reply(cancel(&state, node_id, attempt_id).into()));
     }
     Ok(run(&state, request).await)
 }
@@ -130,10 +130,11 @@
             log::info!("event=hop_body_failed error={:?}", failure.to_string());
             state.metrics.count("hop.body_failed");
             // The request was not accepted, so the sender may try another node.
-            return encode_result(AttemptResult::NotRun {
+            let refused = AttemptResult::NotRun {
                 reason: RefusalReason::QueueFull,
                 wait: Duration::ZERO,
-            });
+            };
+            return encode_reply(refused.into());
         }
     };
     match HopRequest::decode(head, body, &state.config.names.request_id) {
@@ -142,7 +143,7 @@
             let unread = state.now() - arrived_at;
             hop.timeout = hop.timeout.saturating_sub(unread);
             hop.objective = hop.objective.saturating_sub(unread);
-            encode_result(state.gate.handle(hop).await)
+            encode_reply(state.gate.handle(hop).await)
         }
         Err(error) => {
             log::warn!("event=hop_malformed error={:?}", error.to_string());
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -8,10 +8,12 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, interval, sleep, timeout, timeout_at};
 
+use crate::admission::RequestRate;
 use crate::error::{MeshError, Result};
 
 use super::config::GatewayConfig;
 use super::connection::{FIRST_REQUEST_TIMEOUT, LAST_ACCEPT_TIME, serve_clients};
+use super::limit_usage::UsageReport;
 use super::metrics::serve_metrics;
 use super::peer_server::serve_peers;
 use super::state::{GatewayState, lock};
@@ -134,6 +136,21 @@
     loop {
         ticks.tick().await;
         lock(&state.pause).tick(state.now());
-        state.gate.tick();
+        if let Some(report) = state.gate.tick() {
+            log_usage(&report);
+            state.metrics.show_usage(&report);
+        }
     }
 }
+
+fn log_usage(report: &UsageReport) {
+    log::info!(
+        "event=target_limit_usage per_s={} span_ms={} allowed={:.1} served={} refused={} served_share={:.3}",
+        report.limit.map_or(-1.0, RequestRate::per_second),
+        report.span.as_millis(),
+        report.allowed,
+        report.served,
+        report.refused,
+        report.served_share()
+    );
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,6 +33,7 @@
 use super::pause::PauseDetector;
 use super::peer_client::PeerClient;
 use super::sync::DirectoryPosition;
+use super::target_terms::TermsBook;
 
 /// Time that a target in another zone must save to justify the traffic between zones.
 const ZONE_SURCHARGE: Duration = Duration::from_millis(60);
@@ -76,6 +77,8 @@
     pub(super) counters: Mutex<PartCounters>,
     pub(super) rng: Mutex<SmallRng>,
     pub(super) announced: Notify,
+    /// Terms that other targets have stated in their answers.
+    pub(super) terms: Mutex<TermsBook>,
     pub(super) is_stopping: AtomicBool,
     pub(super) active: AtomicUsize,
     /// Cancelled when client connections must not accept further requests.
@@ -124,6 +127,7 @@
             counters: Mutex::default(),
             rng: Mutex::new(SmallRng::from_rng(&mut rand::rng())),
             announced: Notify::new(),
+            terms: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             active: AtomicUsize::new(0),
             closing_clients: CancellationToken::new(),
--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -25,6 +25,7 @@
 use super::hop::strip_connection_headers;
 use super::memory::MemoryPool;
 use super::state::lock;
+use super::target_notice::TargetNotice;
 
 /// Time limit for connecting to the target. It is on the same VM, where a new connection takes about a millisecond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -88,6 +89,21 @@
     idle: Mutex<Vec<TargetConnection>>,
 }
 
+/// Complete answer of the target to one attempt.
+#[derive(Debug)]
+pub(super) struct TargetAnswer {
+    pub(super) result: AttemptResult,
+    /// What the target said about itself; `None` if the answer belongs to another request or incarnation.
+    pub(super) notice: Option<TargetNotice>,
+}
+
+/// Answer of the target to a health check.
+#[derive(Debug)]
+pub(super) struct HealthAnswer {
+    pub(super) is_in_service: bool,
+    pub(super) notice: TargetNotice,
+}
+
 /// Failure to get a complete answer from the target.
 #[derive(Debug)]
 pub(super) enum ExchangeFailure {
@@ -119,7 +135,7 @@
         mut request: Request<Full<Bytes>>,
         request_id: &HeaderValue,
         is_at_most_once: bool,
-    ) -> Result<AttemptResult, ExchangeFailure> {
+    ) -> Result<TargetAnswer, ExchangeFailure> {
         let interim = InterimBound::watch(&mut request);
         let mut connection = self.connect(request_id, is_at_most_once).await?;
         connection.exchanges += 1;
@@ -141,7 +157,7 @@
             .await
             .map_err(|failure| ExchangeFailure::Broken(failure.to_string()))?;
         let keeps_alive = Self::keep_alive(&head.headers);
-        self.log_notice(&head.headers, request_id);
+        let notice = TargetNotice::read(&head.headers, &self.names);
         let status = head.status;
         let result = self.classify_answer(status, head.headers, body, request_id);
         connection.log_result(request_id, status, &result);
@@ -156,24 +172,18 @@
             connection.max_idle = max_idle;
             self.return_to_pool(connection);
         }
-        Ok(result)
-    }
-
-    /// Logs what the target says about itself in an answer.
-    fn log_notice(&self, headers: &HeaderMap, request_id: &HeaderValue) {
-        let limit = headers.get(&self.names.request_limit);
-        let leaving = headers.get(&self.names.target_leaving);
-        if limit.is_none() && leaving.is_none() {
-            return;
-        }
-        log::info!(
-            "event=target_notice request_id={} limit={limit:?} leaving={leaving:?}",
-            request_id.to_str().unwrap_or("malformed")
-        );
+        let is_own = match &result {
+            AttemptResult::Ran { .. } => true,
+            AttemptResult::NotRun { reason, .. } => *reason != RefusalReason::TargetReplaced,
+            AttemptResult::Unknown { .. } => false,
+        };
+        let notice = is_own.then_some(notice);
+        Ok(TargetAnswer { result, notice })
     }
 
-    /// Checks on a new connection that the target accepts work and has the identity `id`.
-    pub(super) async fn is_in_service(&self, health_path: &str, id: &str) -> bool {
+    /// Asks on a new connection whether the target accepts work. Returns `None` unless an incarnation with the identity `id`
+    /// answers.
+    pub(super) async fn check_health(&self, health_path: &str, id: &str) -> Option<HealthAnswer> {
         let health_check = async {
             let mut connection = self.open().await.ok()?;
             let request = Request::get(health_path)
@@ -183,9 +193,12 @@
             let response = connection.sender.send_request(request).await.ok()?;
             let is_same =
                 response.headers().get(&self.names.target_id)?.as_bytes() == id.as_bytes();
-            Some(is_same && response.status() == StatusCode::OK)
+            is_same.then(|| HealthAnswer {
+                is_in_service: response.status() == StatusCode::OK,
+                notice: TargetNotice::read(response.headers(), &self.names),
+            })
         };
-        matches!(timeout(HEALTH_TIMEOUT, health_check).await, Ok(Some(true)))
+        timeout(HEALTH_TIMEOUT, health_check).await.ok()?
     }
 
     async fn connect(
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -132,6 +132,7 @@
         RefusalReason::PlanStale
         | RefusalReason::AdmissionLevel
         | RefusalReason::QueueFull
+        | RefusalReason::TargetLimited
         | RefusalReason::Displaced
         | RefusalReason::DeadlineInfeasible
         | RefusalReason::TargetLeaving
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -55,6 +55,8 @@
     pub node_id: NodeId,
     /// Mesh address of that node.
     pub address: SocketAddr,
+    /// Whether another target that was not excluded has room within its limit.
+    pub has_alternative: bool,
 }
 
 /// Result of choosing a target.
@@ -118,7 +120,11 @@
             probe.or_else(|| self.choose_candidate(now, service, &candidates, request, rng));
         chosen.map_or_else(
             || refuse(RefusalReason::NoTarget, NO_TARGET_RETRY, &mut *rng),
-            |key| self.send(key),
+            |key| {
+                let mut others = candidates.iter().filter(|other| other.key != key);
+                let has_room = |other: &RouteCandidate| !self.targets[other.key].is_limited(now);
+                self.send(key, others.any(has_room))
+            },
         )
     }
 
@@ -130,12 +136,13 @@
         }
     }
 
-    fn send(&self, key: TargetKey) -> RouteDecision {
+    fn send(&self, key: TargetKey, has_alternative: bool) -> RouteDecision {
         let target = &self.targets[key];
         RouteDecision::Send(RouteChoice {
             key,
             node_id: target.node_id,
             address: target.address,
+            has_alternative,
         })
     }
 
@@ -167,10 +174,19 @@
                 is_outlier: target.is_latency_outlier(now),
             })
             .collect();
+        self.remove_limited(now, &mut candidates);
         remove_outliers(&mut candidates);
         candidates
     }
 
+    /// Removes targets whose limit admits no request at present, unless all are limited.
+    fn remove_limited(&self, now: TickTime, candidates: &mut Vec<RouteCandidate>) {
+        let has_room = |candidate: &RouteCandidate| !self.targets[candidate.key].is_limited(now);
+        if candidates.iter().any(has_room) {
+            candidates.retain(has_room);
+        }
+    }
+
     /// Removes candidates whose admission level is above the request's priority; refuses the request if none is left.
     fn apply_admission_levels(
         &self,
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -25,6 +25,9 @@
 /// Time allowed for the directory to include a newly called service: three heartbeats.
 const DIRECTORY_DELAY: Duration = Duration::from_secs(3);
 
+/// Time after which a limited target is tried again, however long it expects requests to wait.
+const MAX_LIMIT_WAIT: Duration = Duration::from_secs(2);
+
 /// Network distance from this node to a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum PathTier {
@@ -80,6 +83,8 @@
     health: HealthMachine,
     slow_answers: u8,
     next_probe_at: TickTime,
+    /// Time until which the target's limit admits no request.
+    limited_until: TickTime,
 }
 
 /// Targets of one service, with their admission levels and the typical latencies of its endpoints.
@@ -224,6 +229,7 @@
             health: new_machine(&self.settings),
             slow_answers: 0,
             next_probe_at: now,
+            limited_until: now,
         });
         self.by_node.insert(record.node_id, key);
         self.by_service.entry(service).or_default().keys.push(key);
@@ -266,6 +272,13 @@
         }
     }
 
+    /// Records the time until the target's limit admits another request.
+    pub fn record_limit_wait(&mut self, now: TickTime, key: TargetKey, wait: Duration) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.limited_until = now + wait.min(MAX_LIMIT_WAIT);
+        }
+    }
+
     /// Ends an attempt and updates the target's levels, latency estimate and health from its result.
     pub fn record(
         &mut self,
@@ -472,6 +485,11 @@
         matches!(self.health.state(), State::Healthy {})
     }
 
+    /// Returns whether the target's limit admits no request at present.
+    pub(super) fn is_limited(&self, now: TickTime) -> bool {
+        now < self.limited_until
+    }
+
     fn is_ready(&self) -> bool {
         self.state == TargetState::Ready && !matches!(self.health.state(), State::Leaving { .. })
     }
--- a/src/types/outcome.rs
+++ b/src/types/outcome.rs
@@ -87,6 +87,8 @@
     AdmissionLevel => "admission-level", SERVICE_UNAVAILABLE;
     /// The queue of the target is full.
     QueueFull => "queue-full", SERVICE_UNAVAILABLE;
+    /// The target's limit on requests per second is used up.
+    TargetLimited => "target-limited", SERVICE_UNAVAILABLE;
     /// Work of higher priority took the request's place in the queue.
     Displaced => "displaced", SERVICE_UNAVAILABLE;
     /// The deadline cannot be met.
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -179,7 +179,7 @@
     let mut queue = busy_queue(2);
     enqueue(&mut queue, request(0, 0, 1_000));
     enqueue(&mut queue, request(0, 2, 1_000));
-    assert_eq!(queue.refuse_all().len(), 2);
+    assert_eq!(queue.refuse_all(at(0)).len(), 2);
     assert!(queue.finish(at(10), false, None).is_empty());
 }
 
@@ -232,8 +232,8 @@
     for _ in 0..8 {
         enqueue(&mut queue, request(0, 2, 1_000));
     }
-    assert!(queue.expected_wait(false) >= SERVICE_TIME * 2);
-    assert!(queue.expected_wait(true) <= SERVICE_TIME / 2);
+    assert!(queue.expected_wait(at(0), false) >= SERVICE_TIME * 2);
+    assert!(queue.expected_wait(at(0), true) <= SERVICE_TIME / 2);
 }
 
 // Surge: guards against requests that start too late to end before their deadline, which wastes the slot.
