Stop sending to an endpoint that says in its answers that it leaves

What owners saw: an endpoint that said Server-Leaving in its answers got requests as before, until its heartbeat reported the drain, or for good. Change: the node beside the endpoint marks the incarnation as leaving when an answer says so, refuses what waits, and announces it at once. Nodes that have received the statement send it along with their requests, so that a restarted node beside the endpoint refuses them. An incarnation that leaves stays so. A health check that says so doesn't confirm a target.

--- a/src/gateway/announced_target.rs
+++ b/src/gateway/announced_target.rs
@@ -168,6 +168,18 @@
         }
     }
 
+    /// Records that an incarnation has stated that it is leaving. Returns whether this is new.
+    pub fn mark_leaving(&mut self, id: &str, born_ms: u64) -> bool {
+        let current = self.current.as_mut();
+        let current = current.filter(|it| it.id == id && it.born_ms == born_ms);
+        let serving = current.filter(|it| it.state != TargetState::Leaving);
+        let Some(serving) = serving else {
+            return false;
+        };
+        serving.state = TargetState::Leaving;
+        true
+    }
+
     /// Marks the target as unreachable until its next report.
     pub fn mark_lost(&mut self) {
         self.is_lost = true;
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -8,7 +8,7 @@
 use http::header::{HOST, HeaderName, HeaderValue};
 use http::{Request, Uri};
 use http_body_util::Full;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
 use crate::admission::{SlotDecision, SlotQueue, SlotRequest, WaitKey};
@@ -50,6 +50,8 @@
     client: TargetClient,
     parents: ParentTable,
     state: Mutex<GateState>,
+    /// Notified when the state to announce has changed without a report.
+    changed: Arc<Notify>,
 }
 
 /// Result of cancelling an attempt.
@@ -60,7 +62,12 @@
 }
 
 impl TargetGate {
-    pub(super) fn new(config: &GatewayConfig, clock: TickClock, memory: MemoryPool) -> Self {
+    pub(super) fn new(
+        config: &GatewayConfig,
+        clock: TickClock,
+        memory: MemoryPool,
+        changed: Arc<Notify>,
+    ) -> Self {
         let state = GateState {
             target: if config.is_first_start {
                 AnnouncedTarget::default()
@@ -83,6 +90,7 @@
                 client: TargetClient::new(config.target_address, config.names.clone(), memory),
                 parents: ParentTable::default(),
                 state: Mutex::new(state),
+                changed,
             }),
         }
     }
@@ -124,7 +132,7 @@
         };
         let notice = answer.notice;
         self.shared.apply_notice(&identity, notice, asked_at, false);
-        if !answer.is_in_service {
+        if !answer.is_in_service || notice.is_leaving {
             return false;
         }
         let now = self.shared.now();
@@ -210,7 +218,9 @@
     pub(super) async fn handle(&self, request: HopRequest) -> HopReply {
         if let Some(terms) = &request.terms {
             let now = self.shared.now();
-            lock(&self.shared.state).adopt_terms(now, terms);
+            if lock(&self.shared.state).adopt_terms(now, terms) {
+                self.shared.changed.notify_one();
+            }
         }
         let result = self.run(request).await;
         let status = lock(&self.shared.state).status(self.shared.now());
@@ -376,7 +386,9 @@
         has_run: bool,
     ) {
         let mut state = lock(&self.state);
-        state.apply_notice(self.now(), target, notice, handed_over_at, has_run);
+        if state.apply_notice(self.now(), target, notice, handed_over_at, has_run) {
+            self.changed.notify_one();
+        }
     }
 
     fn record_outcome(&self, outcome: Result<AttemptResult, ExchangeFailure>) -> AttemptResult {
--- a/src/gateway/gate_state.rs
+++ b/src/gateway/gate_state.rs
@@ -92,16 +92,23 @@
 
     /// Returns the terms in force and the load, for the sender of a request.
     pub(super) fn status(&self, now: TickTime) -> TargetStatus {
+        let current = self.target.current();
+        let is_leaving = current.is_some_and(|target| target.state == TargetState::Leaving);
         let limit = self.queue.limit();
-        let identity = self.identity().filter(|_| limit.is_some());
+        let identity = self.identity().filter(|_| is_leaving || limit.is_some());
         TargetStatus {
-            terms: identity.map(|identity| TargetTerms { identity, limit }),
+            terms: identity.map(|identity| TargetTerms {
+                identity,
+                limit,
+                is_leaving,
+            }),
             revision: self.terms.revision,
             limit_wait: self.queue.limit_wait(now),
         }
     }
 
-    /// Applies what the target said in its answer to a request that was handed over at `handed_over_at`.
+    /// Applies what the target said in its answer to a request that was handed over at `handed_over_at`. Returns whether the
+    /// target is now known to be leaving.
     pub(super) fn apply_notice(
         &mut self,
         now: TickTime,
@@ -109,9 +116,9 @@
         notice: TargetNotice,
         handed_over_at: TickTime,
         has_run: bool,
-    ) {
+    ) -> bool {
         if self.identity().as_ref() != Some(identity) {
-            return;
+            return false;
         }
         match notice.limit {
             LimitNotice::Named(rate) => {
@@ -130,16 +137,19 @@
             }
             LimitNotice::Absent | LimitNotice::Unreadable => {}
         }
+        notice.is_leaving && self.mark_leaving(now, identity, "answer")
     }
 
     /// Adopts terms that another node has received earlier, if this node has not heard from the target since its own start.
-    pub(super) fn adopt_terms(&mut self, now: TickTime, terms: &TargetTerms) {
+    /// Returns whether the target is now known to be leaving.
+    pub(super) fn adopt_terms(&mut self, now: TickTime, terms: &TargetTerms) -> bool {
         if self.identity().as_ref() != Some(&terms.identity) {
-            return;
+            return false;
         }
         if terms.limit.is_some() && !self.terms.has_answered && self.queue.limit().is_none() {
             self.set_limit(now, terms.limit, "peer");
         }
+        terms.is_leaving && self.mark_leaving(now, &terms.identity, "peer")
     }
 
     /// Forgets the terms of the previous incarnation.
@@ -212,6 +222,20 @@
         Some(report)
     }
 
+    fn mark_leaving(&mut self, now: TickTime, identity: &TargetIdentity, source: &str) -> bool {
+        if !self.target.mark_leaving(&identity.id, identity.born_ms) {
+            return false;
+        }
+        self.terms.revision += 1;
+        log::info!(
+            "event=target_leaving id={:?} source={source} waiting={}",
+            identity.id,
+            self.queue.waiting()
+        );
+        self.follow_target(now);
+        true
+    }
+
     /// Records the hand-over and returns the identity of the target. Fails if the request was cancelled or the target was
     /// lost after the request acquired its slot.
     pub(super) fn begin_hand_over(
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -76,7 +76,7 @@
     pub(super) chain_limits: ChainLimits,
     pub(super) counters: Mutex<PartCounters>,
     pub(super) rng: Mutex<SmallRng>,
-    pub(super) announced: Notify,
+    pub(super) announced: Arc<Notify>,
     /// Terms that other targets have stated in their answers.
     pub(super) terms: Mutex<TermsBook>,
     pub(super) is_stopping: AtomicBool,
@@ -107,6 +107,7 @@
         };
         let clock = TickClock::start();
         let memory = MemoryPool::new(config.memory_bytes / BODY_MEMORY_DIVISOR);
+        let announced = Arc::<Notify>::default();
         let table = TargetTable::new(settings, config.zone.clone(), config.region.clone());
         Self {
             node_id: NodeId::from_uuid(Uuid::new_v4()),
@@ -115,7 +116,7 @@
             pause: Mutex::default(),
             control: ControlClient::new(config.control.clone(), config.mesh_token.clone()),
             peers: PeerClient::new(&config.mesh_token, memory.clone()),
-            gate: TargetGate::new(&config, clock, memory),
+            gate: TargetGate::new(&config, clock, memory, Arc::clone(&announced)),
             metrics: GatewayMetrics::new(),
             book: Mutex::default(),
             held_routes: Mutex::default(),
@@ -126,7 +127,7 @@
             chain_limits: ChainLimits::default(),
             counters: Mutex::default(),
             rng: Mutex::new(SmallRng::from_rng(&mut rand::rng())),
-            announced: Notify::new(),
+            announced,
             terms: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             active: AtomicUsize::new(0),
--- a/src/gateway/target_notice.rs
+++ b/src/gateway/target_notice.rs
@@ -6,6 +6,9 @@
 
 use super::config::HeaderNames;
 
+/// Value of the header by which a target says that it is leaving.
+const LEAVING: &[u8] = b"1";
+
 /// Limit on its requests that a target names in an answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum LimitNotice {
@@ -19,6 +22,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct TargetNotice {
     pub(super) limit: LimitNotice,
+    pub(super) is_leaving: bool,
 }
 
 impl TargetNotice {
@@ -40,6 +44,10 @@
                 (Err(_), known) => known,
             };
         }
-        Self { limit }
+        let mut leaving = headers.get_all(&names.target_leaving).iter();
+        Self {
+            limit,
+            is_leaving: leaving.any(|value| value.as_bytes().trim_ascii() == LEAVING),
+        }
     }
 }
--- a/src/gateway/target_terms.rs
+++ b/src/gateway/target_terms.rs
@@ -1,4 +1,4 @@
-//! Terms of a target, which its answers have stated: how many requests it accepts.
+//! Terms of a target, which its answers have stated: how many requests it accepts, and whether it is leaving.
 //!
 //! The node beside the target enforces them. A restarted node has forgotten them, so every node that has received them
 //! sends them along with its requests to that target.
@@ -32,12 +32,13 @@
     pub(super) identity: TargetIdentity,
     /// Requests per second that it accepts from all nodes together.
     pub(super) limit: Option<RequestRate>,
+    pub(super) is_leaving: bool,
 }
 
 impl fmt::Display for TargetTerms {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let TargetIdentity { id, born_ms } = &self.identity;
-        write!(f, "{born_ms};")?;
+        write!(f, "{born_ms};{};", u8::from(self.is_leaving))?;
         match self.limit {
             Some(limit) => limit.fmt(f)?,
             None => f.write_str(NO_LIMIT)?,
@@ -52,9 +53,14 @@
     fn try_from(text: &str) -> Result<Self, Self::Error> {
         let malformed = || MeshError::invalid("target terms", format!("{text:?} is malformed"));
         // The id comes last, because it may contain the separator.
-        let mut fields = text.splitn(3, FIELD_SEPARATOR);
+        let mut fields = text.splitn(4, FIELD_SEPARATOR);
         let mut next_field = || fields.next().ok_or_else(malformed);
         let born_ms = next_field()?.parse().map_err(|_| malformed())?;
+        let is_leaving = match next_field()? {
+            "0" => false,
+            "1" => true,
+            _ => return Err(malformed()),
+        };
         let limit = match next_field()? {
             NO_LIMIT => None,
             rate => Some(rate.try_into()?),
@@ -64,6 +70,7 @@
         Ok(Self {
             identity: TargetIdentity { id, born_ms },
             limit,
+            is_leaving,
         })
     }
 }
