Let only whole answers show that an endpoint has no limit

Cause: any answer without Server-Limit ended a limit, also a failure that the endpoint wrote on another path than its answers. Change: an answer with a 5xx status changes nothing when it names no limit.

--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -354,9 +354,12 @@
             };
         };
         let outcome = outcome.map(|TargetAnswer { result, notice }| {
-            let has_run = matches!(result, AttemptResult::Ran { .. });
+            let is_whole = matches!(
+                &result,
+                AttemptResult::Ran { answer, .. } if !answer.status.is_server_error()
+            );
             if let Some(notice) = notice {
-                self.apply_notice(&target, notice, started, has_run);
+                self.apply_notice(&target, notice, started, is_whole);
             }
             result
         });
@@ -383,10 +386,10 @@
         target: &TargetIdentity,
         notice: TargetNotice,
         handed_over_at: TickTime,
-        has_run: bool,
+        is_whole: bool,
     ) {
         let mut state = lock(&self.state);
-        if state.apply_notice(self.now(), target, notice, handed_over_at, has_run) {
+        if state.apply_notice(self.now(), target, notice, handed_over_at, is_whole) {
             self.changed.notify_one();
         }
     }
--- a/src/gateway/gate_state.rs
+++ b/src/gateway/gate_state.rs
@@ -107,15 +107,16 @@
         }
     }
 
-    /// Applies what the target said in its answer to a request that was handed over at `handed_over_at`. Returns whether the
-    /// target is now known to be leaving.
+    /// Applies what the target said in its answer to a request that was handed over at `handed_over_at`. Only an answer that is
+    /// neither a rejection nor a failure (`is_whole`) can show that there is no limit. Returns whether the target is now known
+    /// to be leaving.
     pub(super) fn apply_notice(
         &mut self,
         now: TickTime,
         identity: &TargetIdentity,
         notice: TargetNotice,
         handed_over_at: TickTime,
-        has_run: bool,
+        is_whole: bool,
     ) -> bool {
         if self.identity().as_ref() != Some(identity) {
             return false;
@@ -128,7 +129,7 @@
             }
             // An answer may have been written before one that named a limit and arrive after it, unless its request was
             // handed over later.
-            LimitNotice::Absent if has_run => {
+            LimitNotice::Absent if is_whole => {
                 let named_at = self.terms.named_at;
                 if named_at.is_none_or(|named_at| handed_over_at >= named_at) {
                     self.terms.has_answered = true;
