Pace requests whose calls do not fit into the limits of other endpoints

What callers saw: requests were worked on until a call met an endpoint whose limit was used up, and failed then. Cause: the limit on chains follows shares of refused calls with answers that come back; at a few requests a second its reports are too old to hold. Change: the node beside the calling endpoint learns which routes make calls that limits refuse, and spaces such requests before they are handed over, by class of urgency: twice the space with a refused call, a tenth less with a served one. It acts only where limits refuse calls, and ends with them. A waiting request that a limit leaves no time is refused as target-limited.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -3,6 +3,7 @@
 //! [`AdmissionControl`] decides which work runs, waits or is refused. It does not read a clock; callers pass the current
 //! time.
 
+mod call_pace;
 mod chain_limit;
 mod cohort;
 mod control;
@@ -17,6 +18,7 @@
 mod slot_queue;
 mod work;
 
+pub use call_pace::CallPace;
 pub use chain_limit::{ChainLimit, ChainPosition, ReportedLimit};
 pub use control::AdmissionControl;
 pub use request_limit::RequestRate;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod body;
 mod body_buffer;
+mod call_paces;
 mod chain_limits;
 mod config;
 mod connection;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,6 +17,7 @@
 };
 
 use super::answer::{Answer, AttemptResult};
+use super::call_paces::LimitedCall;
 use super::chain_limits::tighter;
 use super::entry::EntryRequest;
 use super::gate::CancelOutcome;
@@ -66,6 +67,8 @@
     limit_refusals: usize,
     /// Shortest wait that such a refusal named.
     limit_wait: Option<Duration>,
+    /// What the last answer showed about the limit of its target.
+    limited_call: Option<LimitedCall>,
     /// The last answer failed because a downstream call was refused.
     is_downstream_failure: bool,
     /// Limit on chains that came with the last answer.
@@ -121,6 +124,7 @@
             refusal_time: Duration::ZERO,
             when_limited: LimitPolicy::Refuse,
             terms: None,
+            route: None,
         };
         let mut end_at = arrived_at + deadline.min(route.timeout);
         if let Some(parent) = parent {
@@ -140,6 +144,7 @@
             target_refusals: 0,
             limit_refusals: 0,
             limit_wait: None,
+            limited_call: None,
             is_downstream_failure: false,
             chain_limit: None,
             attempts: 0,
@@ -219,7 +224,7 @@
         let is_own = choice.node_id == self.state.node_id;
         let sending = async {
             if is_own {
-                self.state.gate.handle(self.hop.clone()).await
+                self.state.run_at_target(self.hop.clone()).await
             } else {
                 self.state.peers.send(choice.address, &self.hop).await
             }
@@ -342,7 +347,7 @@
 
     /// Records what the node beside the target reported about it.
     fn record_status(
-        &self,
+        &mut self,
         choice: &RouteChoice,
         is_own: bool,
         status: &TargetStatus,
@@ -352,8 +357,14 @@
         if let Some(wait) = status.limit_wait {
             lock(&self.state.table).record_limit_wait(now, choice.key, wait);
         }
+        let has_run = matches!(result, AttemptResult::Ran { .. });
+        if has_run {
+            self.limited_call = Some(match status.limit_wait {
+                Some(_) => LimitedCall::Served,
+                None => LimitedCall::Unlimited,
+            });
+        }
         if !is_own {
-            let has_run = matches!(result, AttemptResult::Ran { .. });
             let mut terms = lock(&self.state.terms);
             terms.record(now, choice.address, choice.node_id, status, has_run);
         }
@@ -491,6 +502,7 @@
         let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
         let learnt = limits.record_call(now, &self.hop.service, self.position(), is_refused);
         let limit = tighter(learnt, self.chain_limit);
+        self.record_limited_call(now, is_refused);
         let is_refused = is_refused || self.is_downstream_failure;
         self.state
             .gate
@@ -498,6 +510,19 @@
             .record_call(&self.id, limit, is_refused);
     }
 
+    /// Tells the pace of requests like the parent whether limits left room for the call.
+    fn record_limited_call(&self, now: TickTime, is_refused: bool) {
+        let paces = &self.state.call_paces;
+        let is_refused_by_limit = is_refused && self.limit_wait.is_some();
+        let call = match self.limited_call {
+            _ if is_refused_by_limit => LimitedCall::Refused,
+            Some(call) if paces.are_in_use() => call,
+            _ => return,
+        };
+        let route = self.state.gate.parents().route_of_parent(&self.id);
+        paces.record(now, route, &self.hop.service, self.hop.urgency, call);
+    }
+
     fn position(&self) -> ChainPosition {
         ChainPosition::new(self.hop.urgency, chain_rank(&self.hop.request_id))
     }
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -275,7 +275,9 @@
             state.apply_actions(now, actions);
             match decision {
                 SlotDecision::Start => return Ok(SlotGuard::new(Arc::clone(self), request)),
-                SlotDecision::Refuse { wait } => return Err(state.queue_refusal(now, wait)),
+                SlotDecision::Refuse { wait } => {
+                    return Err(state.queue_refusal(now, RefusalReason::QueueFull, wait));
+                }
                 SlotDecision::Wait(key) => {
                     let (sender, grant) = oneshot::channel();
                     let waiting = WaitingRequest {
@@ -296,7 +298,11 @@
         wait_guard.key = None;
         match granted {
             Ok(Ok(())) => {}
-            Ok(Err(wait)) => return Err((RefusalReason::Displaced, wait)),
+            Ok(Err(wait)) => {
+                let now = self.now();
+                let mut state = lock(&self.state);
+                return Err(state.queue_refusal(now, RefusalReason::Displaced, wait));
+            }
             Err(_) => return Err((RefusalReason::Stopping, Duration::ZERO)),
         }
         let slot = SlotGuard::new(Arc::clone(self), request);
--- a/src/gateway/gate_state.rs
+++ b/src/gateway/gate_state.rs
@@ -201,11 +201,16 @@
         (RefusalReason::TargetLimited, wait)
     }
 
-    /// Returns the refusal of a request that the queue does not accept.
-    pub(super) fn queue_refusal(&mut self, now: TickTime, wait: Duration) -> Refusal {
+    /// Returns the refusal of a request that the queue did not accept or gave up. While a limit is used up, it is the cause.
+    pub(super) fn queue_refusal(
+        &mut self,
+        now: TickTime,
+        reason: RefusalReason,
+        wait: Duration,
+    ) -> Refusal {
         let limit_wait = self.queue.limit_wait(now).unwrap_or_default();
         if limit_wait.is_zero() {
-            return (RefusalReason::QueueFull, wait);
+            return (reason, wait);
         }
         self.refuse_by_limit(wait)
     }
--- a/src/gateway/hop.rs
+++ b/src/gateway/hop.rs
@@ -1,5 +1,6 @@
 //! Requests and results of the hop from the entry node to the target's node, and their encoding as HTTP messages.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -95,6 +96,8 @@
     pub(super) when_limited: LimitPolicy,
     /// Terms of the target that the sender has received with earlier answers.
     pub(super) terms: Option<TargetTerms>,
+    /// Name of the route at the target's node, if it is needed there. It is not part of the message.
+    pub(super) route: Option<Arc<str>>,
 }
 
 /// Result of an attempt, with the state of the target.
@@ -199,6 +202,7 @@
                 LimitPolicy::Refuse
             },
             terms: read_terms(&headers),
+            route: None,
             headers: HeaderMap::new(),
         };
         strip_connection_headers(&mut headers);
--- a/src/gateway/parents.rs
+++ b/src/gateway/parents.rs
@@ -1,7 +1,7 @@
 //! Requests that are running at the local target, used to tell the calls that they make from client requests.
 
 use std::collections::BTreeMap;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use http::header::HeaderValue;
 
@@ -39,7 +39,13 @@
 /// Requests that are running at the local target, by request id.
 #[derive(Debug, Default)]
 pub(super) struct ParentTable {
-    running: Mutex<BTreeMap<String, ParentRequest>>,
+    running: Mutex<BTreeMap<String, ParentEntry>>,
+}
+
+#[derive(Debug)]
+struct ParentEntry {
+    request: ParentRequest,
+    route: Option<Arc<str>>,
 }
 
 impl ParentTable {
@@ -53,7 +59,11 @@
             has_refused_call: false,
             chain_limit: None,
         };
-        lock(&self.running).insert(id.clone(), parent);
+        let entry = ParentEntry {
+            request: parent,
+            route: request.route.clone(),
+        };
+        lock(&self.running).insert(id.clone(), entry);
         RunningParent { table: self, id }
     }
 
@@ -61,7 +71,14 @@
     /// that they serve. A call whose id does not contain that of a running request has no parent.
     pub(super) fn parent_of(&self, request_id: &str) -> Option<ParentRequest> {
         let (parent_id, _) = request_id.rsplit_once(ID_SEPARATOR)?;
-        lock(&self.running).get(parent_id).copied()
+        let running = lock(&self.running);
+        running.get(parent_id).map(|entry| entry.request)
+    }
+
+    /// Returns the route of the parent of a call, if it is known.
+    pub(super) fn route_of_parent(&self, request_id: &str) -> Option<Arc<str>> {
+        let (parent_id, _) = request_id.rsplit_once(ID_SEPARATOR)?;
+        lock(&self.running).get(parent_id)?.route.clone()
     }
 
     /// Records the end of a call: the limit that came with its answer, and whether it was refused. If the parent of a
@@ -75,7 +92,8 @@
         let Some((parent_id, _)) = request_id.rsplit_once(ID_SEPARATOR) else {
             return;
         };
-        if let Some(parent) = lock(&self.running).get_mut(parent_id) {
+        if let Some(entry) = lock(&self.running).get_mut(parent_id) {
+            let parent = &mut entry.request;
             parent.has_refused_call |= is_refused;
             parent.chain_limit = tighter(parent.chain_limit, limit);
         }
@@ -101,7 +119,8 @@
     }
 
     fn current(&self) -> Option<ParentRequest> {
-        lock(&self.table.running).get(&self.id).copied()
+        let running = lock(&self.table.running);
+        running.get(&self.id).map(|entry| entry.request)
     }
 }
 
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -143,7 +143,7 @@
             let unread = state.now() - arrived_at;
             hop.timeout = hop.timeout.saturating_sub(unread);
             hop.objective = hop.objective.saturating_sub(unread);
-            encode_reply(state.gate.handle(hop).await)
+            encode_reply(state.run_at_target(hop).await)
         }
         Err(error) => {
             log::warn!("event=hop_malformed error={:?}", error.to_string());
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,13 +21,16 @@
 use crate::retry::{RetryBudget, RetryCause, RetrySettings};
 use crate::routes::RouteBook;
 use crate::routing::{RoutingSettings, TargetTable};
-use crate::types::{NodeId, ServiceName, TickTime};
+use crate::types::{NodeId, RefusalReason, ServiceName, TickTime};
 
 use super::announced_target::{ReportEffect, TargetReport};
+use super::answer::AttemptResult;
+use super::call_paces::CallPaces;
 use super::chain_limits::ChainLimits;
 use super::config::GatewayConfig;
 use super::entry::PartCounters;
 use super::gate::TargetGate;
+use super::hop::{HopReply, HopRequest};
 use super::memory::MemoryPool;
 use super::metrics::GatewayMetrics;
 use super::pause::PauseDetector;
@@ -74,6 +77,7 @@
     pub(super) position: Mutex<DirectoryPosition>,
     pub(super) budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
     pub(super) chain_limits: ChainLimits,
+    pub(super) call_paces: CallPaces,
     pub(super) counters: Mutex<PartCounters>,
     pub(super) rng: Mutex<SmallRng>,
     pub(super) announced: Arc<Notify>,
@@ -125,6 +129,7 @@
             position: Mutex::default(),
             budgets: Mutex::default(),
             chain_limits: ChainLimits::default(),
+            call_paces: CallPaces::default(),
             counters: Mutex::default(),
             rng: Mutex::new(SmallRng::from_rng(&mut rand::rng())),
             announced,
@@ -180,6 +185,34 @@
         &self.gate
     }
 
+    /// Runs a request at the local target, unless calls that it needs would not fit into the limits of other targets.
+    pub(super) async fn run_at_target(&self, mut request: HopRequest) -> HopReply {
+        if self.call_paces.are_in_use() {
+            request.route = self.route_name(&request);
+        }
+        if let Some(route) = &request.route
+            && let Err(wait) = self.call_paces.admit(self.now(), route, request.urgency)
+        {
+            self.metrics.count("refused.call_pace");
+            log::info!(
+                "event=chain_paced request_id={} route={route} urgency={} wait_ms={}",
+                request.request_id.to_str().unwrap_or("malformed"),
+                request.urgency,
+                wait.as_millis()
+            );
+            let reason = RefusalReason::AdmissionLevel;
+            return AttemptResult::NotRun { reason, wait }.into();
+        }
+        self.gate.handle(request).await
+    }
+
+    fn route_name(&self, request: &HopRequest) -> Option<Arc<str>> {
+        let book = self.book();
+        let path = request.target.split('?').next().unwrap_or_default();
+        let key = book.find(&request.host, path)?;
+        Some(Arc::from(book.route(key).name.as_str()))
+    }
+
     /// Applies a report of the local target and starts its confirmation if one is needed. A report with values out of
     /// range is refused and changes nothing.
     pub fn apply_report(self: &Arc<Self>, report: TargetReport) -> Result<ReportEffect> {
