Adopt the lowest limit that other nodes tell after a restart

Cause: after a restart of the node beside an endpoint the first node that told a limit decided, while others may have passed on a lower one since. Change: until the endpoint answers, the lowest told limit holds. Measured: target_notices passes, 7 tests. No test tells two values apart (not built).

--- a/src/gateway/gate_state.rs
+++ b/src/gateway/gate_state.rs
@@ -147,8 +147,10 @@
         if self.identity().as_ref() != Some(&terms.identity) {
             return false;
         }
-        if terms.limit.is_some() && !self.terms.has_answered && self.queue.limit().is_none() {
-            self.set_limit(now, terms.limit, "peer");
+        if let Some(told) = terms.limit.filter(|_| !self.terms.has_answered) {
+            // Nodes may have received different values; the target's next answer tells which one holds.
+            let limit = self.queue.limit().map_or(told, |known| known.min(told));
+            self.set_limit(now, Some(limit), "peer");
         }
         terms.is_leaving && self.mark_leaving(now, &terms.identity, "peer")
     }
