Begin the counts of a route's parts again when their weights change

Cause: counts under the earlier weights were paid off under the new ones. Change: counts belong to the weights under which they were made. Measured: sidecar_follows_changed_weights, red on the code before (0.17 instead of 0.5 of 60 requests), passes.

--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -25,7 +25,13 @@
 /// Distributes the requests of a route over its parts in proportion to their weights.
 #[derive(Debug, Default)]
 pub(super) struct PartCounters {
-    by_route: BTreeMap<String, Vec<i64>>,
+    by_route: BTreeMap<String, Vec<PartCounter>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PartCounter {
+    weight: u32,
+    count: i64,
 }
 
 impl PartCounters {
@@ -35,15 +41,21 @@
             return 0;
         }
         let counters = self.by_route.entry(route.name.clone()).or_default();
-        counters.resize(route.parts.len(), 0);
+        let weights = || route.parts.iter().map(|part| part.weight);
+        // Counts under other weights say nothing about the shares under these.
+        if !counters.iter().map(|counter| counter.weight).eq(weights()) {
+            let counter = |weight| PartCounter { weight, count: 0 };
+            *counters = weights().map(counter).collect();
+        }
         let mut total = 0;
-        for (counter, part) in counters.iter_mut().zip(&route.parts) {
-            *counter += i64::from(part.weight);
-            total += i64::from(part.weight);
+        for counter in counters.iter_mut() {
+            counter.count += i64::from(counter.weight);
+            total += i64::from(counter.weight);
         }
-        let weighted = (0..counters.len()).filter(|index| route.parts[*index].weight > 0);
-        let chosen = weighted.max_by_key(|index| counters[*index]).unwrap_or(0);
-        counters[chosen] -= total;
+        let weighted = (0..counters.len()).filter(|index| counters[*index].weight > 0);
+        let chosen = weighted.max_by_key(|index| counters[*index].count);
+        let chosen = chosen.unwrap_or(0);
+        counters[chosen].count -= total;
         chosen
     }
 }
