--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -210,8 +210,8 @@
         self.hop.attempt_id = new_attempt_id();
         self.hop.timeout = self.end_at - now;
         self.hop.objective = self.objective_at - now;
-        let goes_on = choice.has_alternative && self.limit_refusals < MAX_LIMIT_REFUSALS;
-        self.hop.when_limited = if goes_on {
+        let may_use_another = choice.has_alternative && self.limit_refusals < MAX_LIMIT_REFUSALS;
+        self.hop.when_limited = if may_use_another {
             LimitPolicy::Refuse
         } else {
             LimitPolicy::Wait
@@ -439,13 +439,14 @@
             return Answer::own(StatusCode::BAD_GATEWAY, reason.as_str());
         }
         // The limits explain why no target is left, and when one has room.
-        let (reason, wait) = match (reason, self.limit_wait) {
-            (RefusalReason::NoTarget | RefusalReason::TargetLimited, Some(limit_wait)) => {
-                self.state.metrics.count("refused.target_limit");
-                (RefusalReason::TargetLimited, limit_wait)
-            }
-            other => (other.0, wait),
-        };
+        let is_limited = matches!(
+            reason,
+            RefusalReason::NoTarget | RefusalReason::TargetLimited
+        );
+        if let Some(limit_wait) = self.limit_wait.filter(|_| is_limited) {
+            self.state.metrics.count("refused.target_limit");
+            return refusal(self.state, RefusalReason::TargetLimited, limit_wait);
+        }
         refusal(self.state, reason, wait)
     }
 
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -131,6 +131,7 @@
             born_ms: report.born_ms,
         };
         let notice = answer.notice;
+        // Health checks are not counted against a limit, so one that names none does not end it.
         self.shared.apply_notice(&identity, notice, asked_at, false);
         if !answer.is_in_service || notice.is_leaving {
             return false;
