End the pace of calls also when no paced request comes any more

Cause: read in the whole change. A pace ended only when a request on a known route was admitted. One that a call of a request without a known route had begun stayed, and every request had its route looked up from then on. Change: whether any pace is in force depends on the time since the last refused call. Measured: is_in_force_without_requests fails if the time is not looked at (trial), passes now; call_pace and target_notices pass.

--- a/src/admission/call_pace.rs
+++ b/src/admission/call_pace.rs
@@ -63,8 +63,7 @@
 
     /// Admits a request, or returns the time until the next one may start.
     pub fn admit(&mut self, now: TickTime, urgency: u32) -> Result<(), Duration> {
-        self.classes
-            .retain(|_, pace| now - pace.refused_at < PACE_TIME);
+        self.expire(now);
         let Some(pace) = self.classes.get_mut(&urgency) else {
             return Ok(());
         };
@@ -75,8 +74,14 @@
         Ok(())
     }
 
-    /// Returns whether no class has a pace.
-    pub fn is_empty(&self) -> bool {
-        self.classes.is_empty()
+    /// Returns whether any class has a pace.
+    pub fn is_in_force(&mut self, now: TickTime) -> bool {
+        self.expire(now);
+        !self.classes.is_empty()
+    }
+
+    fn expire(&mut self, now: TickTime) {
+        self.classes
+            .retain(|_, pace| now - pace.refused_at < PACE_TIME);
     }
 }
--- a/src/gateway/call_paces.rs
+++ b/src/gateway/call_paces.rs
@@ -37,8 +37,14 @@
 
 impl CallPaces {
     /// Returns whether any service has a pace. Without one, the routes of requests need not be known.
-    pub(super) fn are_in_use(&self) -> bool {
-        !lock(&self.state).by_service.is_empty()
+    pub(super) fn are_in_use(&self, now: TickTime) -> bool {
+        let mut state = lock(&self.state);
+        let PaceState { by_service, calls } = &mut *state;
+        by_service.retain(|_, pace| pace.is_in_force(now));
+        if by_service.is_empty() {
+            calls.clear();
+        }
+        !by_service.is_empty()
     }
 
     /// Records a call of a request on `route`, which is unknown for a request that started before any pace.
@@ -85,10 +91,6 @@
                 longest = longest.max(pace.admit(now, urgency).err());
             }
         }
-        by_service.retain(|_, pace| !pace.is_empty());
-        if by_service.is_empty() {
-            calls.clear();
-        }
         longest.map_or(Ok(()), Err)
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -517,7 +517,7 @@
         let is_refused_by_limit = is_refused && self.limit_wait.is_some();
         let call = match self.limited_call {
             _ if is_refused_by_limit => LimitedCall::Refused,
-            Some(call) if paces.are_in_use() => call,
+            Some(call) if paces.are_in_use(now) => call,
             _ => return,
         };
         let route = self.state.gate.parents().route_of_parent(&self.id);
--- a/src/gateway/gate_state.rs
+++ b/src/gateway/gate_state.rs
@@ -147,9 +147,12 @@
         if self.identity().as_ref() != Some(&terms.identity) {
             return false;
         }
-        if let Some(told) = terms.limit.filter(|_| !self.terms.has_answered) {
+        if let Some(received) = terms.limit.filter(|_| !self.terms.has_answered) {
             // Nodes may have received different values; the target's next answer tells which one holds.
-            let limit = self.queue.limit().map_or(told, |known| known.min(told));
+            let limit = self
+                .queue
+                .limit()
+                .map_or(received, |known| known.min(received));
             self.set_limit(now, Some(limit), "peer");
         }
         terms.is_leaving && self.mark_leaving(now, &terms.identity, "peer")
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -187,7 +187,7 @@
 
     /// Runs a request at the local target, unless calls that it needs would not fit into the limits of other targets.
     pub(super) async fn run_at_target(&self, mut request: HopRequest) -> HopReply {
-        if self.call_paces.are_in_use() {
+        if self.call_paces.are_in_use(self.now()) {
             request.route = self.route_name(&request);
         }
         if let Some(route) = &request.route
--- a/tests/call_pace.rs
+++ b/tests/call_pace.rs
@@ -67,13 +67,23 @@
         pace.clear();
         assert_eq!(pace.admit(at(10_000), URGENCY), Ok(()));
         assert_eq!(pace.admit(at(10_000), URGENCY), Ok(()));
-        assert!(pace.is_empty());
+        assert!(!pace.is_in_force(at(10_000)));
     }
     let mut forgotten = CallPace::default();
     forgotten.record_refused(at(0), URGENCY);
     assert!(forgotten.admit(at(50), URGENCY).is_err());
     assert_eq!(forgotten.admit(at(6_000), URGENCY), Ok(()));
-    assert!(forgotten.is_empty());
+    assert!(!forgotten.is_in_force(at(6_000)));
+}
+
+// Guards against a pace that stays in force for good when no request that it applies to comes any more.
+#[test]
+fn is_in_force_without_requests() {
+    let mut pace = CallPace::default();
+    assert!(!pace.is_in_force(at(0)));
+    pace.record_refused(at(0), URGENCY);
+    assert!(pace.is_in_force(at(4_900)));
+    assert!(!pace.is_in_force(at(5_100)));
 }
 
 // Guards against urgent requests that are held back because calls of less urgent ones were refused.
