Log by which replica, leader and term a node got its routes, and what it asked meanwhile

Change: routes_received with the replica asked, the leader, its term and the age of the version there; replica_left for each call that a replica fails; heartbeat_restarted; the leader logs the result of each change with its term. A gauge of the version in force and a histogram of its age at nodes. No decision changed.

--- a/examples/capacity_slopes/announcers.rs
+++ b/examples/capacity_slopes/announcers.rs
@@ -101,7 +101,7 @@
     loop {
         let request = heartbeat(&info, &lock());
         match client.heartbeat(request).await {
-            Ok(reply) => lock().apply_reply(reply),
+            Ok(reply) => lock().apply_reply(reply.message),
             Err(_) => lock().failed += 1,
         }
         let factor = rand::random_range(1.0 - HEARTBEAT_JITTER..1.0 + HEARTBEAT_JITTER);
--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -41,6 +41,15 @@
     channels: Arc<ChannelTable>,
 }
 
+/// Message of a replica.
+#[derive(Debug)]
+pub struct ReplicaReply<T> {
+    /// Replica that was called; it may have relayed the call to the leader.
+    pub address: SocketAddr,
+    /// The message.
+    pub message: T,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct CallTimeouts {
     total: Duration,
@@ -76,12 +85,15 @@
     }
 
     /// Sends a heartbeat with a timeout of one second. If a replica fails earlier, the next one is tried.
-    pub async fn heartbeat(&self, request: HeartbeatRequest) -> Result<HeartbeatReply> {
+    pub async fn heartbeat(
+        &self,
+        request: HeartbeatRequest,
+    ) -> Result<ReplicaReply<HeartbeatReply>> {
         let timeouts = CallTimeouts {
             total: HEARTBEAT_TIMEOUT,
             per_try: HEARTBEAT_TIMEOUT,
         };
-        self.call(timeouts, |channel| {
+        self.call_replica(timeouts, |channel| {
             let request = Request::new(request.clone());
             async move { registry(channel).heartbeat(request).await }
         })
@@ -143,6 +155,18 @@
     }
 
     async fn call<T, F>(&self, timeouts: CallTimeouts, send: impl Fn(MeshChannel) -> F) -> Result<T>
+    where
+        F: Future<Output = std::result::Result<Response<T>, Status>>,
+    {
+        let reply = self.call_replica(timeouts, send).await;
+        reply.map(|reply| reply.message)
+    }
+
+    async fn call_replica<T, F>(
+        &self,
+        timeouts: CallTimeouts,
+        send: impl Fn(MeshChannel) -> F,
+    ) -> Result<ReplicaReply<T>>
     where
         F: Future<Output = std::result::Result<Response<T>, Status>>,
     {
@@ -155,8 +179,12 @@
             }
             let try_timeout = time_left.min(timeouts.per_try);
             let address = used_channel.address;
+            let tried_at = Instant::now();
             match timeout(try_timeout, send(channel)).await {
-                Ok(Ok(response)) => return Ok(response.into_inner()),
+                Ok(Ok(response)) => {
+                    let message = response.into_inner();
+                    return Ok(ReplicaReply { address, message });
+                }
                 Ok(Err(status)) if is_permanent_failure(&status) => {
                     return Err(MeshError::Control(describe(address, &status)));
                 }
@@ -170,6 +198,10 @@
                     self.channels.rotate(used_channel, true);
                 }
             }
+            log::info!(
+                "event=replica_left replica={address} span_ms={} error={last_error:?}",
+                tried_at.elapsed().as_millis()
+            );
             sleep(RETRY_DELAY.min(deadline.saturating_duration_since(Instant::now()))).await;
         }
         Err(MeshError::ControlUnavailable(last_error))
--- a/src/control_server/answers.rs
+++ b/src/control_server/answers.rs
@@ -146,6 +146,8 @@
             plan_set: &self.plan_set,
             replicas: &self.replicas,
             route_version: self.parts.state.routes().version,
+            route_age: now.saturating_since(self.routes_applied_at),
+            leader_id: self.parts.core.own().replica_id,
         };
         let mut reply = tables.reply(request, &context)?;
         if request.route_version != reply.route_version {
@@ -225,6 +227,10 @@
                 }));
             }
             (ProposalReply::Routes(reply), ApplyResult::Routes(result)) => {
+                log::info!(
+                    event = "routes-answered", accepted = result.accepted, version = result.version,
+                    term = self.parts.core.term(); ""
+                );
                 let _ = reply.send(Ok(ApplyRoutesReply {
                     accepted: result.accepted,
                     version: result.version,
--- a/src/control_server/leader.rs
+++ b/src/control_server/leader.rs
@@ -27,6 +27,9 @@
     pub(super) plan_set: &'a PlanSet,
     pub(super) replicas: &'a [String],
     pub(super) route_version: u64,
+    /// Time since this replica applied the routes.
+    pub(super) route_age: Duration,
+    pub(super) leader_id: u64,
 }
 
 /// Leases and rate shares of one term; a new leader starts with empty tables.
@@ -80,6 +83,8 @@
             replicas: context.replicas.to_vec(),
             route_version: context.route_version,
             routes: None,
+            leader_id: context.leader_id,
+            route_age_ms: context.route_age.as_millis() as u64,
         })
     }
 
--- a/src/control_server/replica.rs
+++ b/src/control_server/replica.rs
@@ -54,6 +54,7 @@
     // Term of the last applied entry. A leader answers calls only after it has applied an entry of its own term.
     pub(super) applied_term: u64,
     pub(super) plan_set: PlanSet,
+    pub(super) routes_applied_at: TickTime,
     pub(super) replicas: Vec<String>,
     pub(super) held_heartbeats: Vec<HeldHeartbeat>,
     pub(super) pending_reads: Vec<PendingRead>,
@@ -73,6 +74,7 @@
             leader_tables: None,
             applied_term: 0,
             plan_set,
+            routes_applied_at: now,
             replicas: Vec::new(),
             held_heartbeats: Vec::new(),
             pending_reads: Vec::new(),
@@ -231,7 +233,8 @@
         }
         if self.parts.state.routes().version != route_version {
             let version = self.parts.state.routes().version;
-            log::info!(event = "routes-in-force", version, index; "");
+            self.routes_applied_at = self.now();
+            log::info!(event = "routes-in-force", version, index, term; "");
         }
         let reply = token.and_then(|token| self.pending_proposals.remove(&token));
         if let Some(reply) = reply {
@@ -249,7 +252,9 @@
         self.parts.state.restore(data)?;
         self.applied_term = meta.last_term;
         self.update_plan_set();
-        log::info!(event = "snapshot-restored", last_index = meta.last_index; "");
+        self.routes_applied_at = self.now();
+        let route_version = self.parts.state.routes().version;
+        log::info!(event = "snapshot-restored", last_index = meta.last_index, route_version; "");
         Ok(())
     }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -148,6 +148,12 @@
             .count("target_limit.refused", i64::from(report.refused));
     }
 
+    /// Shows the version of the routes that came into force, and the time since the leader applied it.
+    pub(super) fn show_routes(&self, version: u64, age: Duration) {
+        let _ = self.client.gauge("route_version", version);
+        self.time("routes_delay", age);
+    }
+
     pub(super) fn time(&self, name: &str, span: Duration) {
         let _ = self.client.time(name, span);
     }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -5,12 +5,14 @@
 
 use tokio::time::sleep;
 
+use crate::control_client::ReplicaReply;
 use crate::error::Result;
 use crate::generated::{
     DirectoryDelta, HeartbeatReply, HeartbeatRequest, NodeInfo, RouteDelta, TargetInfo,
 };
 use crate::routes::{RouteBook, apply_delta};
 use crate::routing::{DirectoryUpdate, TargetState};
+use crate::types::TickTime;
 
 use super::state::{GatewayState, lock};
 
@@ -41,10 +43,18 @@
 pub(super) async fn run_sync(state: Arc<GatewayState>) {
     let mut is_connected = false;
     loop {
+        let began_at = state.now();
         // A change of the local target drops the pending heartbeat and sends a new one immediately.
         let result = tokio::select! {
             result = send_heartbeat(&state) => result,
-            () = state.announced.notified() => continue,
+            () = state.announced.notified() => {
+                log::info!(
+                    "event=heartbeat_restarted span_ms={} routes={}",
+                    (state.now() - began_at).as_millis(),
+                    state.book().version()
+                );
+                continue;
+            }
         };
         match result {
             Ok(()) => {
@@ -71,14 +81,18 @@
         wait_ms: 0,
         ..build_request(state)
     };
-    let reply = state.control.heartbeat(request).await?;
-    apply_reply(state, reply)
+    exchange_heartbeat(state, request).await
 }
 
 async fn send_heartbeat(state: &GatewayState) -> Result<()> {
     let request = build_request(state);
+    exchange_heartbeat(state, request).await
+}
+
+async fn exchange_heartbeat(state: &GatewayState, request: HeartbeatRequest) -> Result<()> {
+    let sent_at = state.now();
     let reply = state.control.heartbeat(request).await?;
-    apply_reply(state, reply)
+    apply_reply(state, sent_at, &reply)
 }
 
 fn build_request(state: &GatewayState) -> HeartbeatRequest {
@@ -126,22 +140,41 @@
     }
 }
 
-fn apply_reply(state: &GatewayState, reply: HeartbeatReply) -> Result<()> {
-    state.control.adopt_replicas(&reply.replicas);
-    if let Some(delta) = &reply.routes {
-        apply_routes(state, delta)?;
+fn apply_reply(
+    state: &GatewayState,
+    sent_at: TickTime,
+    reply: &ReplicaReply<HeartbeatReply>,
+) -> Result<()> {
+    let message = &reply.message;
+    state.control.adopt_replicas(&message.replicas);
+    if let Some(delta) = &message.routes
+        && apply_routes(state, delta)?
+    {
+        log::info!(
+            "event=routes_received version={} replica={} leader={} term={} age_ms={} span_ms={}",
+            delta.version,
+            reply.address,
+            message.leader_id,
+            message.term,
+            message.route_age_ms,
+            (state.now() - sent_at).as_millis()
+        );
+        state
+            .metrics
+            .show_routes(delta.version, Duration::from_millis(message.route_age_ms));
     }
-    if let Some(delta) = reply.directory {
-        apply_directory(state, &delta);
+    if let Some(delta) = &message.directory {
+        apply_directory(state, delta);
     }
     Ok(())
 }
 
-fn apply_routes(state: &GatewayState, delta: &RouteDelta) -> Result<()> {
+/// Returns whether the routes are newer than those in force, which they then replace.
+fn apply_routes(state: &GatewayState, delta: &RouteDelta) -> Result<bool> {
     let mut held = lock(&state.held_routes);
     // A reply that arrives out of order must not restore an older version.
     if delta.version <= held.version {
-        return Ok(());
+        return Ok(false);
     }
     let Some(set) = apply_delta(&held, delta) else {
         log::warn!(
@@ -149,7 +182,7 @@
             held.version,
             delta.base_version
         );
-        return Ok(());
+        return Ok(false);
     };
     let book = RouteBook::try_from(&set)?;
     log::info!(
@@ -160,7 +193,7 @@
     );
     *held = set;
     state.adopt_book(book);
-    Ok(())
+    Ok(true)
 }
 
 fn apply_directory(state: &GatewayState, delta: &DirectoryDelta) {
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -83,7 +83,7 @@
     let position = *lock(&state.directory);
     let request = build_request(state, position, sent_at);
     let reply = state.control.heartbeat(request).await?;
-    apply_reply(state, sent_at, reply)
+    apply_reply(state, sent_at, reply.message)
 }
 
 fn build_request(
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -184,7 +184,7 @@
         direct.heartbeat(heartbeat(node_id)).await.ok()
     })
     .await;
-    assert_eq!((reply.term, reply.plan_version), (term, 1));
+    assert_eq!((reply.message.term, reply.message.plan_version), (term, 1));
 }
 
 // Guards against an empty disk that counts towards a quorum before it holds the log, and against one that never gets the
--- a/tests/control/operator.rs
+++ b/tests/control/operator.rs
@@ -191,6 +191,7 @@
     })
     .await;
     request.plan_version = reply
+        .message
         .plans
         .expect("lists for a node with an older version")
         .version;
--- a/tests/support/registry.rs
+++ b/tests/support/registry.rs
@@ -159,6 +159,8 @@
             replicas: Vec::new(),
             route_version: 0,
             routes: None,
+            leader_id: 1,
+            route_age_ms: 0,
         }))
     }
 
