Sidecar: leave a control replica that does not answer while the endpoint changes

Callers saw: requests handled by an older version long after a newer one was acknowledged, at machines in touch. Cause: each change of the local target dropped the heartbeat in flight and sent a new one to the same replica. Change: heartbeats are never interrupted; a task of its own announces changes. Since two heartbeats of a node may now overlap, they carry a sequence, and the leader ignores an announcement that arrives after a later one, which a delayed relay could bring about before, too; a node applies an update of the directory only to the state that it asked from. After a failed heartbeat the next one asks for an answer without waiting.

--- a/src/control_server/leader.rs
+++ b/src/control_server/leader.rs
@@ -57,7 +57,7 @@
     ) -> Result<(), Status> {
         let node = request.node.clone().ok_or_else(missing_node_status)?;
         self.leases
-            .announce(now, node, request.plan_version)
+            .announce(now, node, request.plan_version, request.sequence)
             .map_err(|error| invalid_argument_status(&error))
     }
 
--- a/src/directory/lease_table.rs
+++ b/src/directory/lease_table.rs
@@ -39,6 +39,7 @@
     service: Option<ServiceName>,
     revision: u64,
     plan_version: u64,
+    sequence: u64,
     heartbeat_at: TickTime,
 }
 
@@ -78,16 +79,28 @@
         self.revision
     }
 
-    /// Stores the announcement of a node and renews its lease.
+    /// Stores the announcement of a node and renews its lease. An announcement with a lower `sequence` than the stored one is
+    /// outdated and has no effect: a relay may have delayed it.
     ///
     /// # Errors
     ///
     /// Returns an error if the announcement is invalid.
-    pub fn announce(&mut self, now: TickTime, info: NodeInfo, plan_version: u64) -> Result<()> {
+    pub fn announce(
+        &mut self,
+        now: TickTime,
+        info: NodeInfo,
+        plan_version: u64,
+        sequence: u64,
+    ) -> Result<()> {
         let record = TargetRecord::from_node(&info)?;
         let node_id = NodeId::try_from(info.node_id.as_ref())?;
         let service = record.map(|record| record.service);
         let previous = self.entries.get(&node_id);
+        if let Some(entry) = previous.filter(|entry| entry.sequence > sequence) {
+            let latest = entry.sequence;
+            log::info!(event = "announcement-outdated", node:% = node_id, sequence, latest; "");
+            return Ok(());
+        }
         let is_changed = previous.is_none_or(|entry| entry.info != info);
         let old_service = previous.and_then(|entry| entry.service.clone());
         let mut revision = previous.map_or(0, |entry| entry.revision);
@@ -108,6 +121,7 @@
             service,
             revision,
             plan_version,
+            sequence,
             heartbeat_at: now,
         };
         self.entries.insert(node_id, entry);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,7 +17,7 @@
 use super::metrics::serve_metrics;
 use super::peer_server::serve_peers;
 use super::state::{GatewayState, lock};
-use super::sync::{announce_once, run_sync};
+use super::sync::{announce_once, run_announcements, run_sync};
 
 /// Time for which a stopping node still accepts clients. They are sent to it until two readiness checks, one a second, have
 /// failed. Requests accepted later could not finish before the stop ends.
@@ -63,6 +63,7 @@
     }
     tokio::spawn(serve_peers(Arc::clone(&state), peers));
     tokio::spawn(run_sync(Arc::clone(&state)));
+    tokio::spawn(run_announcements(Arc::clone(&state)));
     tokio::spawn(run_ticks(Arc::clone(&state)));
     Ok(RunningGateway { state })
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! Shared state of a gateway's tasks. Locks are held for short sections and never across an await.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -81,6 +81,8 @@
     pub(super) counters: Mutex<PartCounters>,
     pub(super) rng: Mutex<SmallRng>,
     pub(super) announced: Arc<Notify>,
+    /// Number of heartbeats sent; it orders their announcements.
+    heartbeats: AtomicU64,
     /// Terms that other targets have stated in their answers.
     pub(super) terms: Mutex<TermsBook>,
     pub(super) is_stopping: AtomicBool,
@@ -133,6 +135,7 @@
             counters: Mutex::default(),
             rng: Mutex::new(SmallRng::from_rng(&mut rand::rng())),
             announced,
+            heartbeats: AtomicU64::new(0),
             terms: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             active: AtomicUsize::new(0),
@@ -231,6 +234,11 @@
         self.announced.notify_one();
     }
 
+    /// Returns the number of the next heartbeat, counting from 1.
+    pub(super) fn next_sequence(&self) -> u64 {
+        self.heartbeats.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Replaces the configured addresses of the control replicas.
     pub fn configure_control(&self, addresses: Vec<std::net::SocketAddr>) {
         self.control.configure(addresses);
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -22,12 +22,12 @@
 /// Time for which the leader may delay its reply to a node without routes or a directory. Such a node cannot answer
 /// requests, so it polls more often.
 const START_POLL_WAIT: Duration = Duration::from_millis(100);
-/// Pause between heartbeats, which bounds the load while replies arrive immediately.
+/// Pause between heartbeats and between announcements, which bounds the load while replies arrive immediately.
 const HEARTBEAT_PAUSE: Duration = Duration::from_millis(30);
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Term and revision of the directory that the node holds.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct DirectoryPosition {
     term: u64,
     revision: u64,
@@ -40,23 +40,15 @@
 }
 
 /// Keeps the node's routes and directory up to date until the process ends.
+///
+/// Heartbeats are not interrupted when the local target changes: [`run_announcements`] reports that. An interrupted
+/// heartbeat would begin anew at the same replica, and a target that changes often would keep the node at a replica that
+/// does not answer.
 pub(super) async fn run_sync(state: Arc<GatewayState>) {
     let mut is_connected = false;
     loop {
-        let began_at = state.now();
-        // A change of the local target drops the pending heartbeat and sends a new one immediately.
-        let result = tokio::select! {
-            result = send_heartbeat(&state) => result,
-            () = state.announced.notified() => {
-                log::info!(
-                    "event=heartbeat_restarted span_ms={} routes={}",
-                    (state.now() - began_at).as_millis(),
-                    state.book().version()
-                );
-                continue;
-            }
-        };
-        match result {
+        let request = build_request(&state, is_connected);
+        match exchange_heartbeat(&state, request).await {
             Ok(()) => {
                 if !is_connected {
                     is_connected = true;
@@ -75,33 +67,46 @@
     }
 }
 
+/// Announces each change of the local target at once, until the process ends. Changes during an announcement are announced
+/// together after it.
+pub(super) async fn run_announcements(state: Arc<GatewayState>) {
+    loop {
+        state.announced.notified().await;
+        if let Err(error) = announce_once(&state).await {
+            // The next heartbeat announces the change.
+            log::warn!("event=announcement_failed error={:?}", error.to_string());
+        }
+        sleep(HEARTBEAT_PAUSE).await;
+    }
+}
+
 /// Announces the state of the local target once, without waiting for changes.
 pub(super) async fn announce_once(state: &GatewayState) -> Result<()> {
     let request = HeartbeatRequest {
         wait_ms: 0,
-        ..build_request(state)
+        ..build_request(state, true)
     };
     exchange_heartbeat(state, request).await
 }
 
-async fn send_heartbeat(state: &GatewayState) -> Result<()> {
-    let request = build_request(state);
-    exchange_heartbeat(state, request).await
-}
-
 async fn exchange_heartbeat(state: &GatewayState, request: HeartbeatRequest) -> Result<()> {
     let sent_at = state.now();
+    let asked = DirectoryPosition {
+        term: request.directory_term,
+        revision: request.directory_revision,
+    };
     let reply = state.control.heartbeat(request).await?;
-    apply_reply(state, sent_at, &reply)
+    apply_reply(state, sent_at, asked, &reply)
 }
 
-fn build_request(state: &GatewayState) -> HeartbeatRequest {
+fn build_request(state: &GatewayState, is_connected: bool) -> HeartbeatRequest {
     let position = *lock(&state.position);
     let holds_views = state.book().version() > 0 && position.is_known();
-    let wait = if holds_views {
-        LONG_POLL_WAIT
-    } else {
-        START_POLL_WAIT
+    let wait = match (holds_views, is_connected) {
+        (false, _) => START_POLL_WAIT,
+        // A replica that does not answer is recognised sooner if it has no reason to wait.
+        (true, false) => Duration::ZERO,
+        (true, true) => LONG_POLL_WAIT,
     };
     HeartbeatRequest {
         node: Some(node_info(state)),
@@ -114,6 +119,7 @@
         services: Vec::new(),
         directory_digest: lock(&state.held_directory).digest(),
         route_version: lock(&state.held_routes).version,
+        sequence: state.next_sequence(),
         wait_ms: wait.as_millis() as u32,
     }
 }
@@ -143,6 +149,7 @@
 fn apply_reply(
     state: &GatewayState,
     sent_at: TickTime,
+    asked: DirectoryPosition,
     reply: &ReplicaReply<HeartbeatReply>,
 ) -> Result<()> {
     let message = &reply.message;
@@ -164,7 +171,7 @@
             .show_routes(delta.version, Duration::from_millis(message.route_age_ms));
     }
     if let Some(delta) = &message.directory {
-        apply_directory(state, delta);
+        apply_directory(state, asked, delta);
     }
     Ok(())
 }
@@ -196,12 +203,14 @@
     Ok(true)
 }
 
-fn apply_directory(state: &GatewayState, delta: &DirectoryDelta) {
+/// Applies an update of the directory that the node held at `asked`. If the directory has changed since, by the reply to
+/// another heartbeat, the update may not fit it; the next heartbeat asks anew.
+fn apply_directory(state: &GatewayState, asked: DirectoryPosition, delta: &DirectoryDelta) {
     let changed = delta.changed.len() + delta.removed.len();
     let mut position = lock(&state.position);
     let is_older = delta.term < position.term
         || (delta.term == position.term && delta.revision < position.revision);
-    if is_older {
+    if is_older || *position != asked {
         return;
     }
     if delta.full || changed > 0 {
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -102,6 +102,7 @@
         relayed: false,
         route_version: 0,
         wait_ms: 0,
+        sequence: 0,
         // Outside callers may call any service through any node, and the first call must not wait for a heartbeat.
         all_services: true,
         services: Vec::new(),
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -88,11 +88,11 @@
                 DirectoryStep::Announce { node: index, service, state } => {
                     let state = StateMessage::try_from(i32::from(state)).unwrap();
                     let info = node(index, names[usize::from(service)], state);
-                    table.announce(at(now_ms), info, 1).unwrap();
+                    table.announce(at(now_ms), info, 1, 0).unwrap();
                 }
                 DirectoryStep::WithoutTarget { node: index } => {
                     let info = NodeInfo { target: None, ..node(index, "orders", StateMessage::Ready) };
-                    table.announce(at(now_ms), info, 1).unwrap();
+                    table.announce(at(now_ms), info, 1, 0).unwrap();
                 }
                 DirectoryStep::Advance { millis } => now_ms += millis,
             }
@@ -125,7 +125,7 @@
     assert!(!table.is_complete(at(2_999)));
     assert!(table.is_complete(at(3_000)));
     let info = node(1, "orders", StateMessage::Ready);
-    table.announce(at(10), info, 1).unwrap();
+    table.announce(at(10), info, 1, 0).unwrap();
     assert!(!table.delta_since(TERM, 1, None).full);
     let delta = table.delta_since(TERM - 1, 1, None);
     assert!(delta.full);
@@ -139,10 +139,10 @@
 fn expire_silent_node() {
     let mut table = LeaseTable::new(TERM, at(0));
     let [lost, live] = [1, 2].map(|index| node(index, "orders", StateMessage::Ready));
-    table.announce(at(0), lost, 1).unwrap();
-    table.announce(at(0), live.clone(), 1).unwrap();
+    table.announce(at(0), lost, 1, 0).unwrap();
+    table.announce(at(0), live.clone(), 1, 0).unwrap();
     let revision = table.revision();
-    table.announce(at(2_000), live, 1).unwrap();
+    table.announce(at(2_000), live, 1, 0).unwrap();
     assert_eq!(table.revision(), revision);
     table.expire(at(TARGET_LEASE.as_millis() as u64));
     let delta = table.delta_since(TERM, revision, None);
@@ -173,7 +173,10 @@
         node(1, "orders", StateMessage::Unspecified),
     ];
     for case in cases {
-        assert!(table.announce(at(0), case.clone(), 1).is_err(), "{case:?}");
+        assert!(
+            table.announce(at(0), case.clone(), 1, 0).is_err(),
+            "{case:?}"
+        );
     }
     let record = TargetRecord::try_from(&valid).unwrap();
     assert_eq!(record.state, TargetState::Ready);
@@ -188,11 +191,11 @@
     let mut new = LeaseTable::new(TERM + 1, at(0));
     for index in 1..=5 {
         let info = node(index, "orders", StateMessage::Ready);
-        old.announce(at(0), info, 1).unwrap();
+        old.announce(at(0), info, 1, 0).unwrap();
     }
     for index in (1..=5).rev() {
         let info = node(index, "orders", StateMessage::Ready);
-        new.announce(at(0), info, 1).unwrap();
+        new.announce(at(0), info, 1, 0).unwrap();
     }
     let mut held = DirectoryDigests::default();
     held.apply(&old.delta_since(0, 0, None));
@@ -200,7 +203,7 @@
     assert_eq!((delta.term, delta.full), (TERM + 1, false));
     assert!(delta.changed.is_empty() && delta.removed.is_empty());
     let leaving = node(2, "orders", StateMessage::Leaving);
-    new.announce(at(10), leaving, 1).unwrap();
+    new.announce(at(10), leaving, 1, 0).unwrap();
     assert_eq!(new.delta_for_digest(held.digest()), None);
     held.apply(&new.delta_since(TERM + 1, delta.revision, None));
     assert!(new.delta_for_digest(held.digest()).is_some());
@@ -238,3 +241,19 @@
     let odd = NodeId::try_from(odd_slots.node_id.as_ref()).unwrap();
     assert!(update.removed.contains(&odd), "{:?}", update.removed);
 }
+
+// Guards against a delayed heartbeat that sets a target back to an earlier state: a target that is leaving would be listed as
+// ready again until the next heartbeat of its node.
+#[test]
+fn announce_after_later_sequence() {
+    let mut table = LeaseTable::new(TERM, at(0));
+    let [ready, leaving] =
+        [StateMessage::Ready, StateMessage::Leaving].map(|state| node(1, "orders", state));
+    table.announce(at(0), ready.clone(), 1, 5).unwrap();
+    table.announce(at(10), leaving.clone(), 1, 7).unwrap();
+    table.announce(at(20), ready.clone(), 1, 6).unwrap();
+    let listed = table.delta_since(TERM, 0, None).changed;
+    assert_eq!(listed, vec![leaving]);
+    table.announce(at(30), ready.clone(), 1, 8).unwrap();
+    assert_eq!(table.delta_since(TERM, 0, None).changed, vec![ready]);
+}
