Heartbeats: give each replica that is tried its whole time

A heartbeat had one second over all tries. A relay that fails after 0.8 s, or a lost machine after 0.5 s, left the next replica less than the 0.6 s for which the leader may hold its answer, so that a sound replica was given up and its connection closed. Change: a try that begins within the second has a second of its own.

--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -54,6 +54,8 @@
 struct CallTimeouts {
     total: Duration,
     per_try: Duration,
+    /// Whether a try that begins within `total` gets all of `per_try`.
+    has_whole_tries: bool,
 }
 
 impl ControlClient {
@@ -84,7 +86,9 @@
         self.channels.merge_reported(&addresses);
     }
 
-    /// Sends a heartbeat with a timeout of one second. If a replica fails earlier, the next one is tried.
+    /// Sends a heartbeat. If a replica fails within a second, the next one is tried. Each has a second to answer, however late
+    /// the one before it failed: the leader may hold its answer back for most of that time, so that with less a sound
+    /// replica would look lost.
     pub async fn heartbeat(
         &self,
         request: HeartbeatRequest,
@@ -92,6 +96,7 @@
         let timeouts = CallTimeouts {
             total: HEARTBEAT_TIMEOUT,
             per_try: HEARTBEAT_TIMEOUT,
+            has_whole_tries: true,
         };
         self.call_replica(timeouts, |channel| {
             let request = Request::new(request.clone());
@@ -105,6 +110,7 @@
         let timeouts = CallTimeouts {
             total: within,
             per_try: TRY_TIMEOUT,
+            has_whole_tries: false,
         };
         self.call(timeouts, |channel| {
             let request = Request::new(request.clone());
@@ -118,6 +124,7 @@
         let timeouts = CallTimeouts {
             total: SETTLE_TIMEOUT,
             per_try: TRY_TIMEOUT,
+            has_whole_tries: false,
         };
         self.call(timeouts, |channel| {
             let request = Request::new(request.clone());
@@ -177,7 +184,11 @@
             if time_left.is_zero() {
                 break;
             }
-            let try_timeout = time_left.min(timeouts.per_try);
+            let try_timeout = if timeouts.has_whole_tries {
+                timeouts.per_try
+            } else {
+                time_left.min(timeouts.per_try)
+            };
             let address = used_channel.address;
             let tried_at = Instant::now();
             match timeout(try_timeout, send(channel)).await {
@@ -212,6 +223,7 @@
     CallTimeouts {
         total: OPERATOR_TIMEOUT,
         per_try: OPERATOR_TRY_TIMEOUT,
+        has_whole_tries: false,
     }
 }
 
