--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -99,7 +99,7 @@
     while Instant::now() < until {
         match stream.read(&mut part) {
             Ok(count) if count > 0 => {
-                start.extend_from_slice(&part[..count.min(START_BYTES - start.len())])
+                start.extend_from_slice(&part[..count.min(START_BYTES - start.len())]);
             }
             _ => break,
         }
