Hold back a request under which targets end

Cause: a broken connection was an unknown outcome like any other; nobody joined the ends of several targets with the request that they had in common. Change: the module suspects (ledger at the leader, list at nodes), told with heartbeats; ends are found by a connection that is refused after one broke, or by the next incarnation.

--- a/src/control_server/answers.rs
+++ b/src/control_server/answers.rs
@@ -51,6 +51,7 @@
         delta.full || !delta.changed.is_empty() || !delta.removed.is_empty()
     };
     reply.routes.is_some()
+        || reply.suspects.is_some()
         || reply.plans.is_some()
         || !reply.shares.is_empty()
         || reply.directory.as_ref().is_some_and(is_changed)
--- a/src/control_server/leader.rs
+++ b/src/control_server/leader.rs
@@ -10,10 +10,11 @@
 use crate::error::MeshError;
 use crate::generated::{
     DirectoryDelta, HeartbeatReply, HeartbeatRequest, NodeStatus, PlanSet,
-    RateDemand as DemandMessage, RateShare as ShareMessage,
+    RateDemand as DemandMessage, RateShare as ShareMessage, SuspectSet,
 };
 use crate::plans::PlanBook;
 use crate::shares::{RateDemand, ShareLedger};
+use crate::suspects::SuspectLedger;
 use crate::types::{NodeId, ServiceName, TickTime};
 
 const MAX_RATE_DEMANDS: usize = 10_000;
@@ -38,6 +39,7 @@
     term: u64,
     leases: LeaseTable,
     shares: ShareLedger,
+    suspects: SuspectLedger,
 }
 
 impl LeaderTables {
@@ -46,6 +48,7 @@
             term,
             leases: LeaseTable::new(term, now),
             shares: ShareLedger::new(now),
+            suspects: SuspectLedger::default(),
         }
     }
 
@@ -56,6 +59,12 @@
         request: &HeartbeatRequest,
     ) -> Result<(), Status> {
         let node = request.node.clone().ok_or_else(missing_node_status)?;
+        for end in &request.ends {
+            self.suspects.record(now, &end.into());
+        }
+        for digest in &request.cleared {
+            self.suspects.clear((*digest).into());
+        }
         self.leases
             .announce(now, node, request.plan_version, request.sequence)
             .map_err(|error| invalid_argument_status(&error))
@@ -85,17 +94,33 @@
             routes: None,
             leader_id: context.leader_id,
             route_age_ms: context.route_age.as_millis() as u64,
+            suspects: self.suspects_for(now, request),
         })
     }
 
     /// Returns whether the directory has changed since the node's last reply.
     pub(super) fn has_updates(&self, request: &HeartbeatRequest) -> bool {
-        request.directory_term == self.term && request.directory_revision != self.leases.revision()
+        let is_directory_behind = request.directory_term == self.term
+            && request.directory_revision != self.leases.revision();
+        is_directory_behind || self.is_suspect_list_behind(request)
+    }
+
+    fn is_suspect_list_behind(&self, request: &HeartbeatRequest) -> bool {
+        let held = (request.suspect_term, request.suspect_revision);
+        request.tracks_suspects && held != (self.term, self.suspects.revision())
+    }
+
+    fn suspects_for(&self, now: TickTime, request: &HeartbeatRequest) -> Option<SuspectSet> {
+        self.is_suspect_list_behind(request).then(|| SuspectSet {
+            revision: self.suspects.revision(),
+            rows: self.suspects.rows(now).iter().map(Into::into).collect(),
+        })
     }
 
     pub(super) fn expire(&mut self, now: TickTime) {
         self.leases.expire(now);
         self.shares.expire(now);
+        self.suspects.expire(now);
     }
 
     pub(super) fn statuses(&self, now: TickTime) -> Vec<NodeStatus> {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 mod peer_server;
 mod run;
 mod state;
+mod suspect_watch;
 mod sync;
 mod target_client;
 mod target_notice;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -158,6 +158,9 @@
             if self.state.now() >= self.end_at || self.state.ending.is_cancelled() {
                 return self.expired();
             }
+            if let Some(hold) = self.state.suspects.hold(self.state.now(), &self.hop) {
+                return self.refuse_held(hold);
+            }
             let choice = match self.choose() {
                 Ok(choice) => choice,
                 Err(answer) => return *answer,
@@ -169,6 +172,18 @@
         }
     }
 
+    /// Gives up a request under which targets have ended.
+    fn refuse_held(&self, hold: Duration) -> Answer {
+        self.state.metrics.count("refused.request_held");
+        log::info!(
+            "event=request_held request_id={} route={} hold_ms={}",
+            self.id,
+            self.route.name,
+            hold.as_millis()
+        );
+        self.give_up(RefusalReason::RequestHeld, hold)
+    }
+
     fn choose(&mut self) -> Result<RouteChoice, Box<Answer>> {
         let excluded = [self.excluded.as_slice(), &self.refusing_targets].concat();
         let mut decision = self.decide(&excluded);
@@ -325,6 +340,8 @@
                 self.target_refusals += 1;
                 self.target_refusals < MAX_TARGET_REFUSALS && self.try_retry(RetryCause::Refused)
             }
+            // All targets would refuse it.
+            RefusalReason::RequestHeld => false,
             // The request is sent here again, to wait, once no other target has room.
             RefusalReason::TargetLimited if self.hop.when_limited == LimitPolicy::Refuse => {
                 self.refusing_targets.push(key);
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -1,6 +1,7 @@
 //! Admission to the local target: final checks of slots, draining, identity and deadline.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -26,6 +27,7 @@
 use super::memory::MemoryPool;
 use super::parents::{ParentTable, chain_rank};
 use super::state::lock;
+use super::suspect_watch::SuspectWatch;
 use super::target_client::{ExchangeFailure, TargetAnswer, TargetClient};
 use super::target_notice::TargetNotice;
 use super::target_terms::TargetIdentity;
@@ -52,6 +54,8 @@
     state: Mutex<GateState>,
     /// Notified when the state to announce has changed without a report.
     changed: Arc<Notify>,
+    suspects: Arc<SuspectWatch>,
+    is_probing: AtomicBool,
 }
 
 /// Result of cancelling an attempt.
@@ -67,6 +71,7 @@
         clock: TickClock,
         memory: MemoryPool,
         changed: Arc<Notify>,
+        suspects: Arc<SuspectWatch>,
     ) -> Self {
         let state = GateState {
             target: if config.is_first_start {
@@ -91,6 +96,8 @@
                 parents: ParentTable::default(),
                 state: Mutex::new(state),
                 changed,
+                suspects,
+                is_probing: AtomicBool::new(false),
             }),
         }
     }
@@ -99,8 +106,12 @@
     pub(super) fn report(&self, report: TargetReport) -> ReportEffect {
         let now = self.shared.now();
         let mut state = lock(&self.shared.state);
+        let replaced = state.serving_identity();
         let verdict = state.target.report(now, report);
         if verdict == ReportEffect::NewIncarnation {
+            if let Some(replaced) = replaced {
+                self.shared.suspects.record_end(now, replaced);
+            }
             self.shared.client.clear();
             state.reset_terms(now);
         }
@@ -200,6 +211,9 @@
         let mut actions = state.queue.start_waiting(now);
         actions.extend(state.queue.expire(now));
         state.apply_actions(now, actions);
+        if self.shared.suspects.tick(now) {
+            self.shared.changed.notify_one();
+        }
         state.hand_overs.expire(now);
         state.take_usage(now)
     }
@@ -326,6 +340,10 @@
                 wait: Duration::ZERO,
             };
         }
+        if let Some(wait) = self.suspects.hold(started, &request) {
+            let reason = RefusalReason::RequestHeld;
+            return AttemptResult::NotRun { reason, wait };
+        }
         let begun = lock(&self.state).begin_hand_over(self.oldest_report(), &request, deadline);
         let target = match begun {
             Ok(target) => target,
@@ -360,6 +378,11 @@
                 detail: "the target did not answer in time".to_owned(),
             };
         };
+        if let Err(ExchangeFailure::Broken(_)) = &outcome {
+            self.suspects
+                .record_broken(self.now(), &target, &request, started);
+            self.probe_after_break(&target);
+        }
         let outcome = outcome.map(|TargetAnswer { result, notice }| {
             let is_whole = matches!(
                 &result,
@@ -371,6 +394,10 @@
             result
         });
         let mut result = self.record_outcome(outcome);
+        let has_run = matches!(result, AttemptResult::Ran { .. });
+        if has_run && self.suspects.record_answer(&request) {
+            self.changed.notify_one();
+        }
         if let AttemptResult::Ran {
             answer,
             is_downstream_failure,
@@ -401,6 +428,30 @@
         }
     }
 
+    /// Finds out whether the target has ended after a connection to it broke. A connection may break for other reasons, so only
+    /// a refused one counts; otherwise the report of the next incarnation tells.
+    fn probe_after_break(self: &Arc<Self>, target: &TargetIdentity) {
+        if self.is_probing.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let (shared, target) = (Arc::clone(self), target.clone());
+        tokio::spawn(async move {
+            let is_refused = shared.client.refuses_connections().await;
+            shared.is_probing.store(false, Ordering::Relaxed);
+            if is_refused {
+                shared.record_end(&target);
+            }
+        });
+    }
+
+    /// Records the end of the incarnation, unless it is leaving or another one is in use.
+    fn record_end(&self, target: &TargetIdentity) {
+        let serving = lock(&self.state).serving_identity();
+        if let Some(serving) = serving.filter(|serving| serving == target) {
+            self.suspects.record_end(self.now(), serving);
+        }
+    }
+
     fn record_outcome(&self, outcome: Result<AttemptResult, ExchangeFailure>) -> AttemptResult {
         let mut state = lock(&self.state);
         match outcome {
--- a/src/gateway/gate_state.rs
+++ b/src/gateway/gate_state.rs
@@ -90,6 +90,12 @@
         })
     }
 
+    /// Returns the incarnation in use, unless it is leaving.
+    pub(super) fn serving_identity(&self) -> Option<TargetIdentity> {
+        let current = self.target.current()?;
+        (current.state != TargetState::Leaving).then(|| self.identity())?
+    }
+
     /// Returns the terms in force and the load, for the sender of a request.
     pub(super) fn status(&self, now: TickTime) -> TargetStatus {
         let current = self.target.current();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -35,6 +35,7 @@
 use super::metrics::GatewayMetrics;
 use super::pause::PauseDetector;
 use super::peer_client::PeerClient;
+use super::suspect_watch::SuspectWatch;
 use super::sync::DirectoryPosition;
 use super::target_terms::TermsBook;
 
@@ -69,6 +70,7 @@
     pub(super) control: ControlClient,
     pub(super) peers: PeerClient,
     pub(super) gate: TargetGate,
+    pub(super) suspects: Arc<SuspectWatch>,
     pub(super) metrics: GatewayMetrics,
     book: Mutex<Arc<RouteBook>>,
     pub(super) held_routes: Mutex<RouteSet>,
@@ -114,15 +116,24 @@
         let clock = TickClock::start();
         let memory = MemoryPool::new(config.memory_bytes / BODY_MEMORY_DIVISOR);
         let announced = Arc::<Notify>::default();
+        let node_id = NodeId::from_uuid(Uuid::new_v4());
+        let suspects = Arc::new(SuspectWatch::new(node_id));
         let table = TargetTable::new(settings, config.zone.clone(), config.region.clone());
         Self {
-            node_id: NodeId::from_uuid(Uuid::new_v4()),
+            node_id,
             clock,
             memory: memory.clone(),
             pause: Mutex::default(),
             control: ControlClient::new(config.control.clone(), config.mesh_token.clone()),
             peers: PeerClient::new(&config.mesh_token, memory.clone()),
-            gate: TargetGate::new(&config, clock, memory, Arc::clone(&announced)),
+            gate: TargetGate::new(
+                &config,
+                clock,
+                memory,
+                Arc::clone(&announced),
+                Arc::clone(&suspects),
+            ),
+            suspects,
             metrics: GatewayMetrics::new(),
             book: Mutex::default(),
             held_routes: Mutex::default(),
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -95,7 +95,12 @@
         term: request.directory_term,
         revision: request.directory_revision,
     };
+    let last_end = state.suspects.last_number();
+    let cleared = request.cleared.clone();
     let reply = state.control.heartbeat(request).await?;
+    state
+        .suspects
+        .adopt(state.now(), last_end, &cleared, &reply.message);
     apply_reply(state, sent_at, asked, &reply)
 }
 
@@ -108,7 +113,7 @@
         (true, false) => Duration::ZERO,
         (true, true) => LONG_POLL_WAIT,
     };
-    HeartbeatRequest {
+    let mut request = HeartbeatRequest {
         node: Some(node_info(state)),
         plan_version: 0,
         directory_term: position.term,
@@ -121,7 +126,10 @@
         route_version: lock(&state.held_routes).version,
         sequence: state.next_sequence(),
         wait_ms: wait.as_millis() as u32,
-    }
+        ..HeartbeatRequest::default()
+    };
+    state.suspects.fill(state.now(), &mut request);
+    request
 }
 
 fn node_info(state: &GatewayState) -> NodeInfo {
--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -181,6 +181,13 @@
         Ok(TargetAnswer { result, notice })
     }
 
+    /// Returns whether nothing listens at the target's address.
+    pub(super) async fn refuses_connections(&self) -> bool {
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let failure = connecting.await.ok().and_then(std::io::Result::err);
+        failure.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+
     /// Asks on a new connection whether the target accepts work. Returns `None` unless an incarnation with the identity `id`
     /// answers.
     pub(super) async fn check_health(&self, health_path: &str, id: &str) -> Option<HealthAnswer> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod shares;
 pub mod signals;
 pub mod storage;
+pub mod suspects;
 pub mod telemetry;
 mod toml_reader;
 pub mod types;
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -103,6 +103,11 @@
         route_version: 0,
         wait_ms: 0,
         sequence: 0,
+        tracks_suspects: false,
+        suspect_term: 0,
+        suspect_revision: 0,
+        ends: Vec::new(),
+        cleared: Vec::new(),
         // Outside callers may call any service through any node, and the first call must not wait for a heartbeat.
         all_services: true,
         services: Vec::new(),
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -149,6 +149,7 @@
         | RefusalReason::NotGranted
         | RefusalReason::UnknownService
         | RefusalReason::PlanRate
+        | RefusalReason::RequestHeld
         | RefusalReason::DeadlineExceeded
         | RefusalReason::Cancelled
         | RefusalReason::NoTarget
--- /dev/null
+++ b/src/suspects.rs
@@ -0,0 +1,10 @@
+//! Requests under which targets have ended, so that a request that ends every target which reads it is not sent again.
+
+mod digest;
+mod ledger;
+mod list;
+mod message;
+
+pub use digest::RequestDigest;
+pub use ledger::{EndedRequest, SuspectLedger, SuspectRow, TargetEnd};
+pub use list::SuspectList;
--- a/src/types/outcome.rs
+++ b/src/types/outcome.rs
@@ -89,6 +89,8 @@
     QueueFull => "queue-full", SERVICE_UNAVAILABLE;
     /// The target's limit on requests per second is used up.
     TargetLimited => "target-limited", SERVICE_UNAVAILABLE;
+    /// Targets have ended under this request, so it is held back.
+    RequestHeld => "request-held", SERVICE_UNAVAILABLE;
     /// Work of higher priority took the request's place in the queue.
     Displaced => "displaced", SERVICE_UNAVAILABLE;
     /// The deadline cannot be met.
--- a/tests/support/registry.rs
+++ b/tests/support/registry.rs
@@ -161,6 +161,7 @@
             routes: None,
             leader_id: 1,
             route_age_ms: 0,
+            suspects: None,
         }))
     }
 
