Remember at the leader which targets have left, for nodes that restart

Cause: departures were in the memory of the node alone, and a second heartbeat counts as a confirmation of the first. Change: nodes tell the leader which incarnations have left or are leaving, again after each change of the leader; a node that has started asks for those beside its address with its first heartbeats and drops a target that is among them. Lost with node and leader at once: not covered.

--- a/src/control_server/leader.rs
+++ b/src/control_server/leader.rs
@@ -6,7 +6,7 @@
 
 use tonic::Status;
 
-use crate::directory::LeaseTable;
+use crate::directory::{DepartureTable, LeaseTable};
 use crate::error::MeshError;
 use crate::generated::{
     DirectoryDelta, HeartbeatReply, HeartbeatRequest, NodeStatus, PlanSet,
@@ -40,6 +40,7 @@
     leases: LeaseTable,
     shares: ShareLedger,
     suspects: SuspectLedger,
+    departures: DepartureTable,
 }
 
 impl LeaderTables {
@@ -49,6 +50,7 @@
             leases: LeaseTable::new(term, now),
             shares: ShareLedger::new(now),
             suspects: SuspectLedger::default(),
+            departures: DepartureTable::default(),
         }
     }
 
@@ -59,6 +61,8 @@
         request: &HeartbeatRequest,
     ) -> Result<(), Status> {
         let node = request.node.clone().ok_or_else(missing_node_status)?;
+        self.departures
+            .record(now, &node.mesh_address, &request.departed);
         for end in &request.ends {
             self.suspects.record(now, &end.into());
         }
@@ -95,6 +99,11 @@
             leader_id: context.leader_id,
             route_age_ms: context.route_age.as_millis() as u64,
             suspects: self.suspects_for(now, request),
+            departed: if request.asks_departed {
+                self.departures.of(&node.mesh_address)
+            } else {
+                Vec::new()
+            },
         })
     }
 
@@ -121,6 +130,7 @@
         self.leases.expire(now);
         self.shares.expire(now);
         self.suspects.expire(now);
+        self.departures.expire(now);
     }
 
     pub(super) fn statuses(&self, now: TickTime) -> Vec<NodeStatus> {
--- a/src/gateway/announced_target.rs
+++ b/src/gateway/announced_target.rs
@@ -155,6 +155,31 @@
         is_removed
     }
 
+    /// Returns the incarnations that have left or are leaving.
+    pub fn departed(&self) -> Vec<(String, u64)> {
+        let leaving = self.current.iter();
+        let leaving = leaving.filter(|it| it.state == TargetState::Leaving);
+        let leaving = leaving.map(|it| (it.id.clone(), it.born_ms));
+        self.departed.iter().cloned().chain(leaving).collect()
+    }
+
+    /// Adopts departures from before the start of the process. Returns whether the target in use is among them.
+    pub fn adopt_departed(&mut self, departed: Vec<(String, u64)>) -> bool {
+        for (id, born_ms) in departed {
+            self.record_departed(id, born_ms);
+        }
+        let Some(current) = self.current.take() else {
+            return false;
+        };
+        let is_departed = self.is_departed(&current);
+        if is_departed {
+            self.unconfirmed_since = None;
+        } else {
+            self.current = Some(current);
+        }
+        is_departed
+    }
+
     /// Returns whether the first report of the target is still unconfirmed.
     pub fn awaits_confirmation(&self) -> bool {
         self.unconfirmed_since.is_some()
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -163,6 +163,24 @@
         is_removed
     }
 
+    /// Returns the incarnations of the target that have left or are leaving.
+    pub(super) fn departed(&self) -> Vec<(String, u64)> {
+        lock(&self.shared.state).target.departed()
+    }
+
+    /// Adopts the incarnations that had left when an earlier process ran beside the target.
+    pub(super) fn adopt_departed(&self, departed: Vec<(String, u64)>) {
+        let now = self.shared.now();
+        let mut state = lock(&self.shared.state);
+        let is_current = state.target.adopt_departed(departed);
+        state.follow_target(now);
+        drop(state);
+        if is_current {
+            log::info!("event=target_left id=\"\" current=true source=leader");
+            self.shared.changed.notify_one();
+        }
+    }
+
     /// Refuses waiting and new requests because the process is stopping.
     pub(super) fn stop(&self) {
         let now = self.shared.now();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -36,7 +36,7 @@
 use super::pause::PauseDetector;
 use super::peer_client::PeerClient;
 use super::suspect_watch::SuspectWatch;
-use super::sync::DirectoryPosition;
+use super::sync::{DepartureReport, DirectoryPosition};
 use super::target_terms::TermsBook;
 
 /// Time that a target in another zone must save to justify the traffic between zones.
@@ -77,6 +77,7 @@
     pub(super) held_directory: Mutex<DirectoryDigests>,
     pub(super) table: Mutex<TargetTable>,
     pub(super) position: Mutex<DirectoryPosition>,
+    pub(super) departures: Mutex<DepartureReport>,
     pub(super) budgets: Mutex<BTreeMap<ServiceName, RetryBudget>>,
     pub(super) chain_limits: ChainLimits,
     pub(super) call_paces: CallPaces,
@@ -140,6 +141,7 @@
             held_directory: Mutex::default(),
             table: Mutex::new(table),
             position: Mutex::default(),
+            departures: Mutex::default(),
             budgets: Mutex::default(),
             chain_limits: ChainLimits::default(),
             call_paces: CallPaces::default(),
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -108,6 +108,8 @@
         suspect_revision: 0,
         ends: Vec::new(),
         cleared: Vec::new(),
+        departed: Vec::new(),
+        asks_departed: false,
         // Outside callers may call any service through any node, and the first call must not wait for a heartbeat.
         all_services: true,
         services: Vec::new(),
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -2,8 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ebonyjunction::directory::{DirectoryDigests, LeaseTable, TARGET_LEASE};
-use ebonyjunction::generated::{DirectoryDelta, NodeInfo, TargetInfo, TargetState as StateMessage};
+use ebonyjunction::directory::{DepartureTable, DirectoryDigests, LeaseTable, TARGET_LEASE};
+use ebonyjunction::generated::{
+    DepartedTarget, DirectoryDelta, NodeInfo, TargetInfo, TargetState as StateMessage,
+};
 use ebonyjunction::routing::{DirectoryUpdate, TargetRecord, TargetState};
 use ebonyjunction::types::{NodeId, ServiceName, TickTime};
 use proptest::prelude::*;
@@ -257,3 +259,29 @@
     table.announce(at(30), ready.clone(), 1, 8).unwrap();
     assert_eq!(table.delta_since(TERM, 0, None).changed, vec![ready]);
 }
+
+fn departed(id: &str) -> DepartedTarget {
+    DepartedTarget {
+        id: id.to_owned(),
+        born_ms: 7,
+    }
+}
+
+// Guards against departures that are lost with the node that reported them, and against a table that grows without bound.
+#[test]
+fn departures_of_restarted_node() {
+    let mut table = DepartureTable::default();
+    table.record(at(0), "10.0.0.1:1", &[departed("i-1")]);
+    // The restarted node has nothing to report yet.
+    table.record(at(10), "10.0.0.1:1", &[]);
+    assert_eq!(table.of("10.0.0.1:1"), [departed("i-1")]);
+    assert!(table.of("10.0.0.2:1").is_empty());
+    for index in 0..4_096 {
+        table.record(at(20 + index), &format!("node-{index}"), &[departed("i-2")]);
+    }
+    assert!(table.of("10.0.0.1:1").is_empty(), "the oldest is evicted");
+    assert_eq!(table.of("node-0"), [departed("i-2")]);
+    table.expire(at(20 + 10 * 60 * 1_000));
+    assert!(table.of("node-0").is_empty());
+    assert_eq!(table.of("node-1"), [departed("i-2")]);
+}
--- a/tests/support/registry.rs
+++ b/tests/support/registry.rs
@@ -162,6 +162,7 @@
             leader_id: 1,
             route_age_ms: 0,
             suspects: None,
+            departed: Vec::new(),
         }))
     }
 
