Log heartbeats whose answers are slow, with the longest pause of the process meanwhile

Cause: routes_received is written only for answers that bring routes, and does not tell a busy link from a busy processor. Change: heartbeat_slow and a histogram of the round trips; no decision depends on them. Measured: take_longest_gap_once passes.

--- a/src/gateway/pause.rs
+++ b/src/gateway/pause.rs
@@ -18,12 +18,14 @@
     last_tick_at: TickTime,
     resumed_at: TickTime,
     pause: Duration,
+    longest_gap: Duration,
 }
 
 impl PauseDetector {
     /// Records that the process is running. Must be called much more often than the shortest pause to detect.
     pub fn tick(&mut self, now: TickTime) {
         let gap = now - self.last_tick_at;
+        self.longest_gap = self.longest_gap.max(gap);
         if gap >= MIN_PAUSE {
             log::warn!("event=paused span_ms={}", gap.as_millis());
             self.pause = gap;
@@ -32,6 +34,11 @@
         self.last_tick_at = now;
     }
 
+    /// Returns the longest gap between ticks since the last call, up to now.
+    pub fn take_longest_gap(&mut self, now: TickTime) -> Duration {
+        std::mem::take(&mut self.longest_gap).max(now - self.last_tick_at)
+    }
+
     /// Returns the longest time for which a message that is read now may have been unread.
     pub fn max_unread_time(&self, now: TickTime) -> Duration {
         let gap = now - self.last_tick_at;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -1,5 +1,6 @@
 //! Heartbeats to the control replicas: they announce the local target and return changes of routes and directory.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
 /// Pause between heartbeats and between announcements, which bounds the load while replies arrive immediately.
 const HEARTBEAT_PAUSE: Duration = Duration::from_millis(30);
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+/// Round trip, beyond the time for which the leader may hold its reply, from which a heartbeat is logged as slow.
+const SLOW_ROUND_TRIP: Duration = Duration::from_millis(300);
 
 /// Term and revision of the directory that the node holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -99,7 +102,9 @@
     let last_end = state.suspects.last_number();
     let cleared = request.cleared.clone();
     let question = DepartureQuestion::from(&request);
+    let hold = Duration::from_millis(request.wait_ms.into());
     let reply = state.control.heartbeat(request).await?;
+    record_round_trip(state, sent_at, hold, reply.address);
     state
         .suspects
         .adopt(state.now(), last_end, &cleared, &reply.message);
@@ -110,6 +115,22 @@
     apply_reply(state, sent_at, asked, &reply)
 }
 
+/// Records how long a reply took. A pause of the process tells a busy processor from a slow link.
+fn record_round_trip(state: &GatewayState, sent_at: TickTime, hold: Duration, replica: SocketAddr) {
+    let now = state.now();
+    let span = now - sent_at;
+    state.metrics.time("heartbeat", span);
+    let pause = lock(&state.pause).take_longest_gap(now);
+    if span >= hold + SLOW_ROUND_TRIP {
+        log::info!(
+            "event=heartbeat_slow replica={replica} span_ms={} hold_ms={} pause_ms={}",
+            span.as_millis(),
+            hold.as_millis(),
+            pause.as_millis()
+        );
+    }
+}
+
 fn build_request(state: &GatewayState, is_connected: bool) -> HeartbeatRequest {
     let position = *lock(&state.position);
     let holds_views = state.book().version() > 0 && position.is_known();
--- a/tests/pause_detector.rs
+++ b/tests/pause_detector.rs
@@ -43,3 +43,20 @@
     let later = detector.max_unread_time(TickTime::from_millis(6_200));
     assert_eq!(later, Duration::ZERO);
 }
+
+// Guards against slow answers being put down to the link while the process did not run.
+#[test]
+fn take_longest_gap_once() {
+    let mut detector = detector_ticked_until(1_000);
+    detector.tick(TickTime::from_millis(1_700));
+    detector.tick(TickTime::from_millis(1_750));
+    let now = TickTime::from_millis(1_800);
+    let gaps = [
+        detector.take_longest_gap(now),
+        detector.take_longest_gap(now),
+    ];
+    assert_eq!(
+        gaps,
+        [Duration::from_millis(700), Duration::from_millis(50)]
+    );
+}
