Leave changes of routes and directory to the heartbeats, not to announcements

Cause: since an announcement runs beside the heartbeat. Both ask from the same version; the answer that comes second is a difference to a version that the node no longer holds. Change: only answers to heartbeats change routes and directory, so that nothing moves the base while a heartbeat is on its way. The check of the directory's position, which dropped updates in the same case, is not needed any more.

--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -52,7 +52,7 @@
     let mut is_connected = false;
     loop {
         let request = build_request(&state, is_connected);
-        match exchange_heartbeat(&state, request).await {
+        match follow_control(&state, request).await {
             Ok(()) => {
                 if !is_connected {
                     is_connected = true;
@@ -85,20 +85,30 @@
 }
 
 /// Announces the state of the local target once, without waiting for changes.
+///
+/// Changes of routes and directory in the reply are left to the heartbeats. They are differences to what the node held when
+/// it asked, and a heartbeat that was sent meanwhile would find its own difference outdated.
 pub(super) async fn announce_once(state: &GatewayState) -> Result<()> {
     let request = HeartbeatRequest {
         wait_ms: 0,
         ..build_request(state, true)
     };
-    exchange_heartbeat(state, request).await
+    exchange_heartbeat(state, request).await.map(drop)
 }
 
-async fn exchange_heartbeat(state: &GatewayState, request: HeartbeatRequest) -> Result<()> {
+/// Sends a heartbeat and applies the changes of routes and directory that the reply contains.
+async fn follow_control(state: &GatewayState, request: HeartbeatRequest) -> Result<()> {
+    let sent_at = state.now();
+    let reply = exchange_heartbeat(state, request).await?;
+    apply_views(state, sent_at, &reply)
+}
+
+/// Sends a heartbeat and applies all of the reply but the changes of routes and directory.
+async fn exchange_heartbeat(
+    state: &GatewayState,
+    request: HeartbeatRequest,
+) -> Result<ReplicaReply<HeartbeatReply>> {
     let sent_at = state.now();
-    let asked = DirectoryPosition {
-        term: request.directory_term,
-        revision: request.directory_revision,
-    };
     let last_end = state.suspects.last_number();
     let cleared = request.cleared.clone();
     let question = DepartureQuestion::from(&request);
@@ -112,7 +122,8 @@
     if !departed.is_empty() {
         state.gate.adopt_departed(departed);
     }
-    apply_reply(state, sent_at, asked, &reply)
+    state.control.adopt_replicas(&reply.message.replicas);
+    Ok(reply)
 }
 
 /// Records how long a reply took. A pause of the process tells a busy processor from a slow link.
@@ -182,14 +193,12 @@
     }
 }
 
-fn apply_reply(
+fn apply_views(
     state: &GatewayState,
     sent_at: TickTime,
-    asked: DirectoryPosition,
     reply: &ReplicaReply<HeartbeatReply>,
 ) -> Result<()> {
     let message = &reply.message;
-    state.control.adopt_replicas(&message.replicas);
     if let Some(delta) = &message.routes
         && apply_routes(state, delta)?
     {
@@ -207,7 +216,7 @@
             .show_routes(delta.version, Duration::from_millis(message.route_age_ms));
     }
     if let Some(delta) = &message.directory {
-        apply_directory(state, asked, delta);
+        apply_directory(state, delta);
     }
     Ok(())
 }
@@ -239,14 +248,12 @@
     Ok(true)
 }
 
-/// Applies an update of the directory that the node held at `asked`. If the directory has changed since, by the reply to
-/// another heartbeat, the update may not fit it; the next heartbeat asks anew.
-fn apply_directory(state: &GatewayState, asked: DirectoryPosition, delta: &DirectoryDelta) {
+fn apply_directory(state: &GatewayState, delta: &DirectoryDelta) {
     let changed = delta.changed.len() + delta.removed.len();
     let mut position = lock(&state.position);
     let is_older = delta.term < position.term
         || (delta.term == position.term && delta.revision < position.revision);
-    if is_older || *position != asked {
+    if is_older {
         return;
     }
     if delta.full || changed > 0 {
