Ask another replica besides a slow one, instead of giving the slow one up

Cause: a heartbeat was given up after 1 s and a connection attempt after 0.5 s, and the answer that was on its way was dropped with its connection. The leader may hold the answer for 0.6 s, so where packets wait for some tenths of a second at the node's own link, no answer arrived from any replica and no connection could be opened: the node got no routes until the pressure ended. After 1 s (claims: 0.5 s) the next replica is asked too; a replica is left only when another one has answered or after 3 s. Connecting may take 3 s. Only the first replica asked may hold its answer. Why it works: the time until an answer counts as lost covers a held answer and a wait of half a second at the link in both directions, and a replica that is really lost still costs one second.

--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -1,12 +1,13 @@
 //! Client of the control services for nodes and operators. On a failure it retries with the next replica.
 
 mod channels;
+mod hedged;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep_until};
 use tonic::{Request, Response, Status};
 
 use crate::config::MeshToken;
@@ -20,18 +21,24 @@
 
 use channels::{ChannelTable, is_permanent_failure};
 pub(crate) use channels::{MeshChannel, TokenInterceptor, mesh_endpoint};
+use hedged::{AskedReplica, PendingCalls};
 
 /// Metadata key that carries the mesh token.
 pub const MESH_TOKEN_KEY: &str = "ebj-mesh-token";
 /// Largest message that replicas, nodes and operators accept.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time within which a failed heartbeat is sent to another replica.
+const HEARTBEAT_RETRY_TIME: Duration = Duration::from_secs(1);
+/// Time after which a heartbeat is sent to another replica too. The leader may hold its reply for most of it.
+const HEARTBEAT_HEDGE_DELAY: Duration = Duration::from_secs(1);
+/// Time after which a replica that has not answered a heartbeat counts as lost. It covers a reply that is held and waits at a
+/// busy link in both directions.
+const HEARTBEAT_PATIENCE: Duration = Duration::from_secs(3);
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(3);
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(10);
-// A call that a replica does not answer within this time is retried with the next replica.
-const TRY_TIMEOUT: Duration = Duration::from_secs(1);
-const OPERATOR_TRY_TIMEOUT: Duration = Duration::from_millis(1_500);
+const HEDGE_DELAY: Duration = Duration::from_millis(500);
+const OPERATOR_HEDGE_DELAY: Duration = Duration::from_millis(1_500);
 // Avoids a busy loop while the replicas elect a leader.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -52,10 +59,22 @@
 
 #[derive(Debug, Clone, Copy)]
 struct CallTimeouts {
+    /// Time within which a failed call is repeated.
+    retry: Duration,
+    /// Time after which another replica is asked too.
+    hedge_delay: Duration,
+    /// Time after which the call ends without an answer.
     total: Duration,
-    per_try: Duration,
-    /// Whether a try that begins within `total` gets all of `per_try`.
-    has_whole_tries: bool,
+}
+
+impl CallTimeouts {
+    const fn within(total: Duration, hedge_delay: Duration) -> Self {
+        Self {
+            retry: total,
+            hedge_delay,
+            total,
+        }
+    }
 }
 
 impl ControlClient {
@@ -86,32 +105,30 @@
         self.channels.merge_reported(&addresses);
     }
 
-    /// Sends a heartbeat. If a replica fails within a second, the next one is tried. Each has a second to answer, however late
-    /// the one before it failed: the leader may hold its answer back for most of that time, so that with less a sound
-    /// replica would look lost.
+    /// Sends a heartbeat. If a replica fails, or has not answered within a second, the next one is asked as well; the first
+    /// answer counts. Only the first replica asked may hold its answer, so that the others show at once whether they work.
     pub async fn heartbeat(
         &self,
         request: HeartbeatRequest,
     ) -> Result<ReplicaReply<HeartbeatReply>> {
         let timeouts = CallTimeouts {
-            total: HEARTBEAT_TIMEOUT,
-            per_try: HEARTBEAT_TIMEOUT,
-            has_whole_tries: true,
+            retry: HEARTBEAT_RETRY_TIME,
+            hedge_delay: HEARTBEAT_HEDGE_DELAY,
+            total: HEARTBEAT_PATIENCE,
         };
-        self.call_replica(timeouts, |channel| {
-            let request = Request::new(request.clone());
-            async move { registry(channel).heartbeat(request).await }
+        self.call_replica(timeouts, |channel, is_first| {
+            let mut request = request.clone();
+            if !is_first {
+                request.wait_ms = 0;
+            }
+            async move { registry(channel).heartbeat(Request::new(request)).await }
         })
         .await
     }
 
     /// Claims an idempotency key for an attempt within the given time. Repeating the claim of an attempt is safe.
     pub async fn claim(&self, request: ClaimRequest, within: Duration) -> Result<ClaimReply> {
-        let timeouts = CallTimeouts {
-            total: within,
-            per_try: TRY_TIMEOUT,
-            has_whole_tries: false,
-        };
+        let timeouts = CallTimeouts::within(within, HEDGE_DELAY);
         self.call(timeouts, |channel| {
             let request = Request::new(request.clone());
             async move { registry(channel).claim(request).await }
@@ -121,11 +138,7 @@
 
     /// Reports the outcome of the attempt that holds a claim.
     pub async fn settle(&self, request: SettleRequest) -> Result<()> {
-        let timeouts = CallTimeouts {
-            total: SETTLE_TIMEOUT,
-            per_try: TRY_TIMEOUT,
-            has_whole_tries: false,
-        };
+        let timeouts = CallTimeouts::within(SETTLE_TIMEOUT, HEDGE_DELAY);
         self.call(timeouts, |channel| {
             let request = Request::new(request.clone());
             async move { registry(channel).settle(request).await }
@@ -163,68 +176,98 @@
 
     async fn call<T, F>(&self, timeouts: CallTimeouts, send: impl Fn(MeshChannel) -> F) -> Result<T>
     where
-        F: Future<Output = std::result::Result<Response<T>, Status>>,
+        T: Send + 'static,
+        F: Future<Output = std::result::Result<Response<T>, Status>> + Send + 'static,
     {
-        let reply = self.call_replica(timeouts, send).await;
+        let reply = self
+            .call_replica(timeouts, |channel, _| send(channel))
+            .await;
         reply.map(|reply| reply.message)
     }
 
+    /// Calls `send` with a channel, and whether it is the first one of this call, until a replica answers.
     async fn call_replica<T, F>(
         &self,
         timeouts: CallTimeouts,
-        send: impl Fn(MeshChannel) -> F,
+        send: impl Fn(MeshChannel, bool) -> F,
     ) -> Result<ReplicaReply<T>>
     where
-        F: Future<Output = std::result::Result<Response<T>, Status>>,
+        T: Send + 'static,
+        F: Future<Output = std::result::Result<Response<T>, Status>> + Send + 'static,
     {
-        let deadline = Instant::now() + timeouts.total;
-        let mut last_error = "no address is configured".to_owned();
-        while let Some((used_channel, channel)) = self.channels.current() {
-            let time_left = deadline.saturating_duration_since(Instant::now());
-            if time_left.is_zero() {
-                break;
-            }
-            let try_timeout = if timeouts.has_whole_tries {
-                timeouts.per_try
+        let began_at = Instant::now();
+        let (retry_until, deadline) = (began_at + timeouts.retry, began_at + timeouts.total);
+        let mut calls = PendingCalls::new();
+        let mut is_first = true;
+        let mut ask_at = began_at;
+        let mut last_error = "no replica answered in time".to_owned();
+        loop {
+            let end_at = if calls.is_empty() {
+                retry_until
             } else {
-                time_left.min(timeouts.per_try)
+                deadline
             };
-            let address = used_channel.address;
-            let tried_at = Instant::now();
-            match timeout(try_timeout, send(channel)).await {
-                Ok(Ok(response)) => {
-                    let message = response.into_inner();
-                    return Ok(ReplicaReply { address, message });
-                }
-                Ok(Err(status)) if is_permanent_failure(&status) => {
-                    return Err(MeshError::Control(describe(address, &status)));
-                }
-                Ok(Err(status)) => {
-                    last_error = describe(address, &status);
-                    self.channels.rotate(used_channel, false);
+            tokio::select! {
+                biased;
+                Some(end) = calls.next_end() => {
+                    let address = end.asked.channel.address;
+                    match end.result {
+                        Ok(message) => {
+                            self.channels.select(address);
+                            self.discard(calls.into_unanswered(), "another one answered");
+                            return Ok(ReplicaReply { address, message });
+                        }
+                        Err(status) if is_permanent_failure(&status) => {
+                            return Err(MeshError::Control(describe(address, &status)));
+                        }
+                        Err(status) => {
+                            last_error = describe(address, &status);
+                            self.channels.rotate(end.asked.channel, false);
+                            log_replica_left(end.asked, &last_error);
+                            ask_at = ask_at.min(Instant::now() + RETRY_DELAY);
+                        }
+                    }
                 }
-                Err(_) => {
-                    last_error =
-                        format!("{address}: no answer within {} ms", try_timeout.as_millis());
-                    self.channels.rotate(used_channel, true);
+                () = sleep_until(end_at) => break,
+                () = sleep_until(ask_at), if calls.has_room() => {
+                    if let Some(slow) = calls.latest() {
+                        self.channels.rotate(slow, false);
+                    }
+                    let Some((asked, channel)) = self.channels.current() else {
+                        "no address is configured".clone_into(&mut last_error);
+                        break;
+                    };
+                    if !calls.contains(asked.address) {
+                        calls.start(asked, send(channel, is_first));
+                        is_first = false;
+                    }
+                    ask_at = Instant::now() + timeouts.hedge_delay;
                 }
             }
-            log::info!(
-                "event=replica_left replica={address} span_ms={} error={last_error:?}",
-                tried_at.elapsed().as_millis()
-            );
-            sleep(RETRY_DELAY.min(deadline.saturating_duration_since(Instant::now()))).await;
         }
+        self.discard(calls.into_unanswered(), "no answer");
         Err(MeshError::ControlUnavailable(last_error))
     }
+
+    /// Discards the channels of replicas that have not answered, since their connections may be silent.
+    fn discard(&self, unanswered: Vec<AskedReplica>, reason: &str) {
+        for asked in unanswered {
+            self.channels.rotate(asked.channel, true);
+            log_replica_left(asked, reason);
+        }
+    }
+}
+
+fn log_replica_left(asked: AskedReplica, reason: &str) {
+    log::info!(
+        "event=replica_left replica={} span_ms={} error={reason:?}",
+        asked.channel.address,
+        asked.asked_at.elapsed().as_millis()
+    );
 }
 
 const fn operator_timeouts() -> CallTimeouts {
-    CallTimeouts {
-        total: OPERATOR_TIMEOUT,
-        per_try: OPERATOR_TRY_TIMEOUT,
-        has_whole_tries: false,
-    }
+    CallTimeouts::within(OPERATOR_TIMEOUT, OPERATOR_HEDGE_DELAY)
 }
 
 fn registry(channel: MeshChannel) -> RegistryClient<MeshChannel> {
--- a/src/control_client/channels.rs
+++ b/src/control_client/channels.rs
@@ -16,7 +16,8 @@
 
 use super::MESH_TOKEN_KEY;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit for connecting to a replica. While a connection takes long, another replica is asked besides.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Channel that adds the mesh token to each request.
 pub(crate) type MeshChannel = InterceptedService<Channel, TokenInterceptor>;
@@ -44,11 +45,11 @@
     }
 }
 
-/// Returns the endpoint of a replica, with a connect timeout.
-pub(crate) fn mesh_endpoint(address: SocketAddr) -> Result<Endpoint> {
+/// Returns the endpoint of a replica.
+pub(crate) fn mesh_endpoint(address: SocketAddr, connect_timeout: Duration) -> Result<Endpoint> {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
         .map_err(|error| MeshError::invalid("control address", error.to_string()))?;
-    Ok(endpoint.connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true))
+    Ok(endpoint.connect_timeout(connect_timeout).tcp_nodelay(true))
 }
 
 /// Returns whether the call would fail in the same way at every replica.
@@ -120,7 +121,7 @@
         let mut state = self.lock();
         let address = *state.addresses.get(state.selected)?;
         if !state.channels.contains_key(&address) {
-            let channel = mesh_endpoint(address).ok()?.connect_lazy();
+            let channel = mesh_endpoint(address, CONNECT_TIMEOUT).ok()?.connect_lazy();
             state.last_number += 1;
             let number = state.last_number;
             state.channels.insert(address, (number, channel));
@@ -143,6 +144,13 @@
         }
     }
 
+    /// Selects the replica that has answered.
+    pub(super) fn select(&self, address: SocketAddr) {
+        let mut state = self.lock();
+        let position = state.addresses.iter().position(|listed| *listed == address);
+        state.selected = position.unwrap_or(state.selected);
+    }
+
     fn lock(&self) -> MutexGuard<'_, ChannelState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/control_server/links.rs
+++ b/src/control_server/links.rs
@@ -13,6 +13,9 @@
 use crate::config::MeshToken;
 use crate::control_client::{MeshChannel, TokenInterceptor, mesh_endpoint};
 
+/// Time limit for connecting to another replica.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// One lazily connected channel per replica address; clones share the channels.
 #[derive(Debug, Clone)]
 pub(super) struct ReplicaChannels {
@@ -65,8 +68,8 @@
         let (number, channel) = if let Some(link) = state.channels.get(&address) {
             link.clone()
         } else {
-            let endpoint =
-                mesh_endpoint(address).map_err(|error| Status::internal(error.to_string()))?;
+            let endpoint = mesh_endpoint(address, CONNECT_TIMEOUT)
+                .map_err(|error| Status::internal(error.to_string()))?;
             state.last_number += 1;
             let link = (state.last_number, endpoint.connect_lazy());
             state.channels.insert(address, link.clone());
