Leave an address at which no replica answers

Cause: a refusal that every replica would repeat was returned without selecting the next replica, and a server without the service counted as such. Change: each failure selects the next replica; a server that does not offer the service is no replica, so that the call goes on at the next one.

--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -217,13 +217,13 @@
                             self.discard(calls.into_unanswered(), "another one answered");
                             return Ok(ReplicaReply { address, message });
                         }
-                        Err(status) if is_permanent_failure(&status) => {
-                            return Err(MeshError::Control(describe(address, &status)));
-                        }
                         Err(status) => {
                             last_error = describe(address, &status);
                             self.channels.rotate(end.asked.channel, false);
                             log_replica_left(end.asked, &last_error);
+                            if is_permanent_failure(&status) {
+                                return Err(MeshError::Control(last_error));
+                            }
                             ask_at = ask_at.min(Instant::now() + RETRY_DELAY);
                         }
                     }
--- a/src/control_client/channels.rs
+++ b/src/control_client/channels.rs
@@ -52,11 +52,12 @@
     Ok(endpoint.connect_timeout(connect_timeout).tcp_nodelay(true))
 }
 
-/// Returns whether the call would fail in the same way at every replica.
+/// Returns whether the call would probably fail in the same way at every replica. A server that does not offer the service is no
+/// replica: the address may have passed to another process.
 pub(super) fn is_permanent_failure(status: &Status) -> bool {
     matches!(
         status.code(),
-        Code::Unauthenticated | Code::InvalidArgument | Code::Unimplemented | Code::OutOfRange
+        Code::Unauthenticated | Code::InvalidArgument | Code::OutOfRange
     )
 }
 
--- a/tests/control_client.rs
+++ b/tests/control_client.rs
@@ -13,6 +13,15 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status};
 
+/// Server at the address of a replica that does not offer the service, such as a node that has got the address.
+async fn start_stranger() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tonic::transport::Server::builder().add_routes(tonic::service::Routes::default());
+    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    address
+}
+
 /// Replica that answers each heartbeat after a delay, either with an answer or with an error.
 #[derive(Debug, Clone, Copy)]
 struct SlowReplica {
@@ -127,3 +136,21 @@
         assert_eq!(reply.unwrap().address, addresses[1]);
     }
 }
+
+// Guards against a node that stays at an address which no longer belongs to a replica: what answers there refuses each
+// heartbeat for good, and the node got no routes.
+#[tokio::test]
+async fn heartbeat_after_refusal_by_stranger() {
+    let replica = SlowReplica {
+        delay: Duration::ZERO,
+        is_sound: true,
+    };
+    let addresses = vec![start_stranger().await, replica.start().await];
+    for _ in 0..6 {
+        let client = ControlClient::new(addresses.clone(), token());
+        // The first heartbeat may reach the stranger.
+        let _ = client.heartbeat(HeartbeatRequest::default()).await;
+        let reply = client.heartbeat(HeartbeatRequest::default()).await;
+        assert_eq!(reply.unwrap().address, addresses[1]);
+    }
+}
