Ask the next replica sooner where an answer is not held

Change: the delay counts from the end of the time for which the reply may be held, so that further replicas are asked after 0.4 s; up to four calls are pending. A connection is dropped only if it was silent for a second.

--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -30,8 +30,8 @@
 
 /// Time within which a failed heartbeat is sent to another replica.
 const HEARTBEAT_RETRY_TIME: Duration = Duration::from_secs(1);
-/// Time after which a heartbeat is sent to another replica too. The leader may hold its reply for most of it.
-const HEARTBEAT_HEDGE_DELAY: Duration = Duration::from_secs(1);
+/// Time after which a heartbeat is sent to another replica too, beyond the time for which the leader may hold its reply.
+const HEARTBEAT_HEDGE_DELAY: Duration = Duration::from_millis(400);
 /// Time after which a replica that has not answered a heartbeat counts as lost. It covers a reply that is held and waits at a
 /// busy link in both directions.
 const HEARTBEAT_PATIENCE: Duration = Duration::from_secs(3);
@@ -39,6 +39,8 @@
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(10);
 const HEDGE_DELAY: Duration = Duration::from_millis(500);
 const OPERATOR_HEDGE_DELAY: Duration = Duration::from_millis(1_500);
+/// Time without an answer after which a connection counts as silent if another replica has answered.
+const SILENT_TIME: Duration = Duration::from_secs(1);
 // Avoids a busy loop while the replicas elect a leader.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -61,7 +63,9 @@
 struct CallTimeouts {
     /// Time within which a failed call is repeated.
     retry: Duration,
-    /// Time after which another replica is asked too.
+    /// Time for which the first replica may hold its answer.
+    hold: Duration,
+    /// Time beyond it after which another replica is asked too.
     hedge_delay: Duration,
     /// Time after which the call ends without an answer.
     total: Duration,
@@ -71,6 +75,7 @@
     const fn within(total: Duration, hedge_delay: Duration) -> Self {
         Self {
             retry: total,
+            hold: Duration::ZERO,
             hedge_delay,
             total,
         }
@@ -105,14 +110,15 @@
         self.channels.merge_reported(&addresses);
     }
 
-    /// Sends a heartbeat. If a replica fails, or has not answered within a second, the next one is asked as well; the first
-    /// answer counts. Only the first replica asked may hold its answer, so that the others show at once whether they work.
+    /// Sends a heartbeat. If a replica fails, or does not answer soon, the next one is asked as well; the first answer
+    /// counts. Only the first replica asked may hold its answer, so that the others show at once whether they work.
     pub async fn heartbeat(
         &self,
         request: HeartbeatRequest,
     ) -> Result<ReplicaReply<HeartbeatReply>> {
         let timeouts = CallTimeouts {
             retry: HEARTBEAT_RETRY_TIME,
+            hold: Duration::from_millis(request.wait_ms.into()),
             hedge_delay: HEARTBEAT_HEDGE_DELAY,
             total: HEARTBEAT_PATIENCE,
         };
@@ -214,7 +220,9 @@
                     match end.result {
                         Ok(message) => {
                             self.channels.select(address);
-                            self.discard(calls.into_unanswered(), "another one answered");
+                            let mut unanswered = calls.into_unanswered();
+                            unanswered.retain(|asked| asked.asked_at.elapsed() >= SILENT_TIME);
+                            self.discard(unanswered, "another one answered");
                             return Ok(ReplicaReply { address, message });
                         }
                         Err(status) => {
@@ -237,11 +245,14 @@
                         "no address is configured".clone_into(&mut last_error);
                         break;
                     };
+                    ask_at = Instant::now() + timeouts.hedge_delay;
+                    if is_first {
+                        ask_at += timeouts.hold;
+                    }
                     if !calls.contains(asked.address) {
                         calls.start(asked, send(channel, is_first));
                         is_first = false;
                     }
-                    ask_at = Instant::now() + timeouts.hedge_delay;
                 }
             }
         }
--- a/src/control_client/hedged.rs
+++ b/src/control_client/hedged.rs
@@ -12,7 +12,7 @@
 use super::channels::ChannelRef;
 
 /// Largest number of replicas that one call waits for.
-const MAX_PENDING_CALLS: usize = 3;
+const MAX_PENDING_CALLS: usize = 4;
 
 /// Replica that a call was sent to.
 #[derive(Debug, Clone, Copy)]
