Number the heartbeats of nodes

Cause: several replicas may pass on copies of one heartbeat since it is asked of them side by side. A node numbered its heartbeats 0, so a copy that a slow replica delays could set its announcement back to an earlier state. Change: nodes count their heartbeats, as gateways do. Measured: heartbeats_are_numbered failed before (1 of 1 run), passes now.

--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -102,7 +102,7 @@
         relayed: false,
         route_version: 0,
         wait_ms: 0,
-        sequence: 0,
+        sequence: state.next_sequence(),
         tracks_suspects: false,
         suspect_term: 0,
         suspect_revision: 0,
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of a node.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -83,6 +83,8 @@
     pub(crate) held_directory: Mutex<DirectoryDigests>,
     pub(crate) rng: Mutex<SmallRng>,
     lifecycle: Mutex<LifecycleMachine>,
+    /// Number of heartbeats sent; it orders their announcements.
+    heartbeats: AtomicU64,
     /// Wakes the heartbeat loop when a change of the local target must be reported to the directory.
     pub(crate) target_changed: Notify,
     /// Wakes the heartbeat loop when a request waits for a rate token or when another node holds newer plans.
@@ -142,6 +144,7 @@
             held_directory: Mutex::default(),
             rng: Mutex::new(SmallRng::seed_from_u64(seed_from(node_id))),
             lifecycle: Mutex::new(LifecycleMachine::new()),
+            heartbeats: AtomicU64::new(0),
             target_changed: Notify::new(),
             early_heartbeat: Notify::new(),
             rate_granted: Notify::new(),
@@ -153,6 +156,11 @@
         })
     }
 
+    /// Returns the number of the next heartbeat, counting from 1.
+    pub(crate) fn next_sequence(&self) -> u64 {
+        self.heartbeats.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Returns the time since the node started.
     pub(crate) fn now(&self) -> TickTime {
         self.clock.now()
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -463,3 +463,21 @@
     let answer = get(mesh.node.entry, "/orders/a", &[]).await;
     assert_eq!(answer.verdict(), "401 not-run unknown-caller");
 }
+
+// Guards against a copy of an earlier heartbeat, which a slow replica delays, setting a node's announcement back: the leader
+// tells copies only by their numbers.
+#[tokio::test]
+async fn heartbeats_are_numbered() {
+    let mesh = Mesh::start("", &[]).await;
+    let sequences = poll("heartbeats of both nodes", async || {
+        let sequences = mesh.registry.state().sequences.clone();
+        (sequences.len() > 6).then_some(sequences)
+    })
+    .await;
+    for (node, _) in &sequences {
+        let sent = sequences.iter().filter(|(other, _)| other == node);
+        let numbers: Vec<u64> = sent.map(|(_, number)| *number).collect();
+        assert_eq!(numbers[0], 1);
+        assert!(numbers.is_sorted_by(|left, right| left < right));
+    }
+}
--- a/tests/support/registry.rs
+++ b/tests/support/registry.rs
@@ -40,6 +40,8 @@
     granted_callers: BTreeSet<String>,
     pub claims: BTreeMap<ClaimScope, ClaimHolder>,
     pub released: BTreeSet<Vec<u8>>,
+    /// Nodes and sequence numbers of the heartbeats received.
+    pub sequences: Vec<(Vec<u8>, u64)>,
     pub settled: Vec<(Vec<u8>, ClaimOutcome)>,
 }
 
@@ -108,6 +110,10 @@
     ) -> Result<Response<HeartbeatReply>, Status> {
         let request = request.into_inner();
         let mut state = self.state();
+        if let Some(node) = &request.node {
+            let sent = (node.node_id.to_vec(), request.sequence);
+            state.sequences.push(sent);
+        }
         if state.is_silent {
             return Err(Status::unavailable("silent"));
         }
