Relay heartbeats until the leader answers late or changes

Cause: a relay gave a heartbeat up after 0.8 s, of which the leader may hold its reply for 0.6 s. Where the leader answered 0.2 s late, all relays to it failed at once, dropped their connections and came back with new ones. Change: a relayed heartbeat has 1.5 s; it fails at once when the leader changes, so that a lost leader is not waited for longer than before. Nodes ask another replica after 1 s in any case.

--- a/src/control_server/relay.rs
+++ b/src/control_server/relay.rs
@@ -29,6 +29,8 @@
 
 // Shorter than the timeouts of clients, so that a client receives the reason why a relayed call failed.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time limit for a relayed heartbeat. The leader may hold its reply for about half of it. Nodes ask another replica sooner.
+const HEARTBEAT_RELAY_TIMEOUT: Duration = Duration::from_millis(1_500);
 const OPERATOR_RELAY_TIMEOUT: Duration = Duration::from_millis(1_200);
 const MAX_CHANGE_ID_BYTES: usize = 64;
 // Largest accepted difference between a key's creation time and the replica's clock. A key from further in the future
@@ -67,6 +69,17 @@
         }
     }
 
+    /// Waits until the replica at `address` no longer counts as the leader.
+    async fn wait_leader_change(&self, address: &str) {
+        let mut leader_view = self.leader_view.clone();
+        let is_changed = |view: &LeaderView| {
+            let leader = view.leader.as_ref();
+            leader.is_none_or(|leader| leader.address != address)
+        };
+        // The view has no sender any more while the process stops.
+        let _ = leader_view.wait_for(is_changed).await;
+    }
+
     async fn propose<T>(
         &self,
         change: Change,
@@ -97,8 +110,10 @@
         };
         request.relayed = true;
         let call = |channel| async move { registry(channel).heartbeat(request).await };
-        let reply = self.links.call(&address, RELAY_TIMEOUT, call).await?;
-        Ok(Response::new(reply))
+        tokio::select! {
+            reply = self.links.call(&address, HEARTBEAT_RELAY_TIMEOUT, call) => reply.map(Response::new),
+            () = self.wait_leader_change(&address) => Err(Status::unavailable("the leader changed")),
+        }
     }
 
     async fn claim(&self, request: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -15,7 +15,8 @@
 
 use bytes::Bytes;
 use ebonyjunction::config::MeshToken;
-use ebonyjunction::control_client::ControlClient;
+use ebonyjunction::control_client::{ControlClient, MESH_TOKEN_KEY};
+use ebonyjunction::generated::registry_client::RegistryClient;
 use ebonyjunction::generated::replication_client::ReplicationClient;
 use ebonyjunction::generated::{
     AppendRequest, ClaimDecision, ClaimKey, ClaimOutcome, ClaimRequest, HeartbeatRequest, LogEntry,
@@ -187,6 +188,75 @@
     assert_eq!((reply.message.term, reply.message.plan_version), (term, 1));
 }
 
+/// Returns a client of the first follower that calls it alone, without a further try, and the id of the leader.
+async fn connect_follower(
+    cluster: &ControlCluster,
+) -> (RegistryClient<tonic::transport::Channel>, u64) {
+    let leader_id = cluster.wait_leader().await.leader_id;
+    let mut followers = cluster.replicas.iter();
+    let follower = followers.find(|it| it.replica_id != leader_id).unwrap();
+    let url = format!("http://{}", follower.direct.unwrap());
+    (RegistryClient::connect(url).await.unwrap(), leader_id)
+}
+
+fn with_token<T>(message: T) -> tonic::Request<T> {
+    let mut request = tonic::Request::new(message);
+    let token = TOKEN.parse().unwrap();
+    request.metadata_mut().insert(MESH_TOKEN_KEY, token);
+    request
+}
+
+/// Returns a heartbeat that the leader holds, since its node has everything already.
+async fn held_heartbeat(
+    follower: &mut RegistryClient<tonic::transport::Channel>,
+) -> HeartbeatRequest {
+    let node_id = NodeId::random();
+    let reply = poll("a relayed heartbeat", async || {
+        let request = with_token(heartbeat(node_id));
+        follower.clone().heartbeat(request).await.ok()
+    })
+    .await
+    .into_inner();
+    let directory = reply.directory.unwrap();
+    HeartbeatRequest {
+        directory_term: directory.term,
+        directory_revision: directory.revision,
+        wait_ms: 600,
+        ..heartbeat(node_id)
+    }
+}
+
+// Guards against relays that give up the leader's answers while these are late: all nodes at all followers failed at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn heartbeat_relayed_to_slow_leader() {
+    let mut cluster = ControlCluster::start_with("heartbeat_interval_ms = 400").await;
+    let (mut follower, leader_id) = connect_follower(&cluster).await;
+    let request = held_heartbeat(&mut follower).await;
+    let leader = cluster.replica(leader_id);
+    leader
+        .proxy
+        .set_faults(|faults| faults.delay = Duration::from_millis(150));
+    let reply = follower.heartbeat(with_token(request)).await;
+    assert!(reply.is_ok(), "{reply:?}");
+}
+
+// Guards against a node that waits at a follower for a leader that has been replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn heartbeat_relay_ends_with_leader() {
+    let mut cluster = ControlCluster::start().await;
+    let (mut follower, leader_id) = connect_follower(&cluster).await;
+    let request = held_heartbeat(&mut follower).await;
+    let process = cluster.replica(leader_id).process_id();
+    for replica in &cluster.replicas {
+        replica.proxy.set_faults(|faults| {
+            faults.is_cut = replica.replica_id == leader_id;
+            faults.cut_processes.insert(process);
+        });
+    }
+    let reply = follower.heartbeat(with_token(request)).await;
+    assert_eq!(reply.unwrap_err().message(), "the leader changed");
+}
+
 // Guards against an empty disk that counts towards a quorum before it holds the log, and against one that never gets the
 // log because its first entries exist only in a snapshot.
 #[tokio::test(flavor = "multi_thread")]
