Count a request once for each end of a target

Each run counted as a round, and a run shorter than the tolerance for the way of reports (30 ms) counted as one that began after the end. So a single end of a target held back a request that had been cleared 0.6 s before. Change: the runs of one request under one end are one round, judged by the latest of them.

--- a/src/suspects/ledger.rs
+++ b/src/suspects/ledger.rs
@@ -106,14 +106,16 @@
             known.map_or(0, |suspect| suspect.rounds)
         };
         let most_rounds = end.requests.iter().map(rounds_of).max().unwrap_or(0);
-        let blamed: Vec<EndedRequest> = end
-            .requests
-            .iter()
-            .filter(|request| rounds_of(request) == most_rounds)
-            .copied()
-            .collect();
-        for request in blamed {
-            self.blame(ended_at, request);
+        // The same request may have been at work there several times, which is one round: that of its latest run.
+        let mut blamed: BTreeMap<RequestDigest, Duration> = BTreeMap::new();
+        for request in &end.requests {
+            if rounds_of(request) == most_rounds {
+                let shortest = blamed.entry(request.digest).or_insert(request.run_time);
+                *shortest = request.run_time.min(*shortest);
+            }
+        }
+        for (digest, run_time) in blamed {
+            self.blame(ended_at, EndedRequest { digest, run_time });
         }
         self.evict_least_suspected();
         self.revision += 1;
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -49,6 +49,17 @@
     assert!(ledger.rows(at(122_300)).is_empty());
 }
 
+// Guards against a popular request that is held back because it was at work several times at a target that ended once.
+#[test]
+fn record_several_runs_under_one_end() {
+    let mut ledger = SuspectLedger::default();
+    ledger.record(at(1_000), &end(1, &[("/popular", 8), ("/popular", 3)]));
+    assert!(held(&ledger, at(1_000)).is_empty());
+    // A run that began after that end makes another round.
+    ledger.record(at(1_300), &end(2, &[("/popular", 400), ("/popular", 90)]));
+    assert_eq!(held(&ledger, at(1_300)), [digest("/popular")]);
+}
+
 // Guards against innocent requests that are held back because they ran beside a suspect.
 #[test]
 fn record_known_suspect_explains_end() {
