--- a/tests/following/faults.rs
+++ b/tests/following/faults.rs
@@ -9,8 +9,8 @@
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
-use super::Fleet;
 use super::processes::{NodeMachine, ReplicaMachine, machine};
+use super::{Fleet, SEEDS};
 
 /// Time for which a replica counts as lost after it is back.
 const RECOVERY: Duration = Duration::from_secs(6);
@@ -122,7 +122,7 @@
             }
             FaultKind::NodeRestart => {
                 self.trace(&format!("restart node {node}"));
-                let (seeds, seed) = (self.seeds.clone(), self.rng.random());
+                let (seeds, seed) = (self.listed_seeds(), self.rng.random());
                 self.oracle.forget_node(node);
                 self.oracle.disturb_node(node, now);
                 self.node(node).restart(seeds, seed);
@@ -270,7 +270,7 @@
             LaterStep::AddReplica => {
                 self.last_machine += 1;
                 let address = machine(0, self.last_machine);
-                let (seeds, disk_id) = (self.seeds.clone(), self.rng.random());
+                let (seeds, disk_id) = (self.listed_seeds(), self.rng.random());
                 let replica = ReplicaMachine::new(address, seeds, &self.network, disk_id);
                 self.replicas.push(replica);
                 self.start_replica(address);
@@ -310,6 +310,15 @@
         self.replica(replica).start(seed, false);
     }
 
+    /// Returns the seeds in the settings of a process that starts now.
+    fn listed_seeds(&mut self) -> Vec<SocketAddr> {
+        let addresses = self.replica_addresses();
+        addresses
+            .choose_multiple(&mut self.rng, SEEDS)
+            .copied()
+            .collect()
+    }
+
     fn replica(&mut self, address: SocketAddr) -> &mut ReplicaMachine {
         let found = self.replicas.iter_mut().find(|it| it.address == address);
         found.expect("the replica is in use")
--- a/tests/following/mod.rs
+++ b/tests/following/mod.rs
@@ -6,6 +6,7 @@
 mod network;
 mod oracle;
 mod processes;
+mod trace;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -17,7 +18,8 @@
 use rand::{Rng, SeedableRng};
 use tokio::time::{Instant, sleep, timeout};
 
-use faults::{FAULT_KINDS, FaultKind, LaterStep, log_uniform};
+pub use faults::FaultKind;
+use faults::{FAULT_KINDS, LaterStep, log_uniform};
 use network::Network;
 use oracle::{Oracle, routes_of};
 use processes::{NodeMachine, ReplicaMachine, machine};
@@ -30,6 +32,8 @@
 /// Time after which an operator sends a change again, to another replica.
 const OPERATOR_PATIENCE: Duration = Duration::from_secs(1);
 const OPERATOR_PAUSE: Duration = Duration::from_millis(100);
+/// Number of replicas in the settings of a process.
+const SEEDS: usize = 3;
 /// Interval between reports of a sound endpoint.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -49,7 +53,6 @@
     rng: SmallRng,
     plan: FaultPlan,
     network: Network,
-    seeds: Vec<SocketAddr>,
     replicas: Vec<ReplicaMachine>,
     nodes: Vec<NodeMachine>,
     oracle: Oracle,
@@ -76,15 +79,15 @@
     fleet.lock().unwrap()
 }
 
-/// Runs one schedule: a period with faults, then one without.
-pub fn run_schedule(seed: u64) -> Result<ScheduleReport, String> {
+/// Runs one schedule: a period with faults of the given kinds, or of kinds that the seed draws, then one without.
+pub fn run_schedule(seed: u64, kinds: Option<&[FaultKind]>) -> Result<ScheduleReport, String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .start_paused(true)
         .build()
         .unwrap();
     let result = runtime.block_on(async {
-        let fleet = Arc::new(Mutex::new(Fleet::new(seed)));
+        let fleet = Arc::new(Mutex::new(Fleet::new(seed, kinds)));
         let result = play(&fleet).await;
         result.map_err(|error| format!("seed {seed}: {error}"))
     });
@@ -125,8 +128,12 @@
         fleet.run_due_steps(now);
         fleet.check()?;
     }
-    operators.await.map_err(|error| error.to_string())?;
-    let fleet = lock(fleet);
+    let acknowledging = timeout(CALM_PERIOD, operators).await;
+    let Ok(Ok(())) = acknowledging else {
+        return Err("a change was not acknowledged after the faults ended".to_owned());
+    };
+    let mut fleet = lock(fleet);
+    fleet.check()?;
     Ok(ScheduleReport {
         versions: fleet.oracle.newest_acknowledged(),
         longest_stable: fleet.oracle.longest_stable,
@@ -192,15 +199,14 @@
 }
 
 impl Fleet {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, kinds: Option<&[FaultKind]>) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let size = *[3, 5, 5, 8].choose(&mut rng).expect("a size");
         let count = rng.random_range(2..=FAULT_KINDS.len());
+        let drawn = FAULT_KINDS.choose_multiple(&mut rng, count).copied();
+        let drawn = drawn.collect::<Vec<FaultKind>>();
         let plan = FaultPlan {
-            kinds: FAULT_KINDS
-                .choose_multiple(&mut rng, count)
-                .copied()
-                .collect(),
+            kinds: kinds.map_or(drawn, <[FaultKind]>::to_vec),
             tolerance: (size - 1) / 2,
             longest_fault_s: rng.random_range(1.0..15.0),
             longest_pause_s: rng.random_range(0.3..12.0),
@@ -209,7 +215,7 @@
         };
         let base_delay = log_uniform(&mut rng, 0.000_3, 0.02);
         let network = Network::new(rng.random(), base_delay);
-        let seeds: Vec<SocketAddr> = (1..=3).map(|number| machine(0, number)).collect();
+        let seeds: Vec<SocketAddr> = (1..=SEEDS as u8).map(|number| machine(0, number)).collect();
         let mut replicas = Vec::new();
         for number in 1..=size as u8 {
             let disk_id = rng.random();
@@ -226,7 +232,6 @@
             rng,
             plan,
             network,
-            seeds,
             replicas,
             nodes,
             oracle: Oracle::new(),
@@ -235,7 +240,7 @@
             last_step: 0,
             last_machine: size as u8,
             began_at: Instant::now(),
-            is_tracing: std::env::var_os("FOLLOWING_TRACE").is_some(),
+            is_tracing: trace::start(),
             failure: None,
         }
     }
