Use another connection once a replica has not answered

What callers saw: a request was handled by an older version of the routes, on a machine that was in touch again. Cause: connections go silent, those of a node to its replicas and those of the replicas to the leader. A node asked four replicas and then waited for 3 s, as each call to a relay hung for 1.5 s on the silent connection to the leader; the silent connections stayed in use, since only the end of the whole call discarded them, and a relay whose caller had left discarded none. Change: the connection of a replica is left for later calls when the next replica is asked; an answer on it brings it back. Eight calls may be pending, which is what fits into the 3 s. A relay sends a heartbeat again on a new connection 0.3 s after the time for which the leader may hold it. The tests control, control_client and gateway_sync pass (26), and so do slow links, which keep their connections.

--- a/src/control_client.rs
+++ b/src/control_client.rs
@@ -229,7 +229,7 @@
                     let address = end.asked.channel.address;
                     match end.result {
                         Ok(message) => {
-                            self.channels.select(address);
+                            self.channels.select(&end.asked.channel);
                             let mut unanswered = calls.into_unanswered();
                             unanswered.retain(|asked| asked.asked_at.elapsed() >= SILENT_TIME);
                             self.discard(unanswered, "another one answered");
@@ -237,8 +237,8 @@
                         }
                         Err(status) => {
                             last_error = describe(address, &status);
-                            self.channels.rotate(end.asked.channel, false);
-                            log_replica_left(end.asked, &last_error);
+                            self.channels.rotate(&end.asked.channel, false);
+                            log_replica_left(&end.asked, &last_error);
                             if is_permanent_failure(&status) {
                                 return Err(MeshError::Control(last_error));
                             }
@@ -249,9 +249,9 @@
                 () = sleep_until(end_at) => break,
                 () = sleep_until(ask_at), if calls.has_room() => {
                     if let Some(slow) = calls.latest() {
-                        self.channels.rotate(slow, false);
+                        self.channels.rotate(slow, true);
                     }
-                    let Some((asked, channel)) = self.channels.current() else {
+                    let Some(channel) = self.channels.current() else {
                         "no address is configured".clone_into(&mut last_error);
                         break;
                     };
@@ -259,8 +259,9 @@
                     if is_first {
                         ask_at += timeouts.hold;
                     }
-                    if !calls.contains(asked.address) {
-                        calls.start(asked, send(channel, is_first));
+                    if !calls.contains(&channel) {
+                        let call = send(self.channels.service(&channel), is_first);
+                        calls.start(channel, call);
                         is_first = false;
                     }
                 }
@@ -273,13 +274,13 @@
     /// Discards the channels of replicas that have not answered, since their connections may be silent.
     fn discard(&self, unanswered: Vec<AskedReplica>, reason: &str) {
         for asked in unanswered {
-            self.channels.rotate(asked.channel, true);
-            log_replica_left(asked, reason);
+            self.channels.rotate(&asked.channel, true);
+            log_replica_left(&asked, reason);
         }
     }
 }
 
-fn log_replica_left(asked: AskedReplica, reason: &str) {
+fn log_replica_left(asked: &AskedReplica, reason: &str) {
     log::info!(
         "event=replica_left replica={} span_ms={} error={reason:?}",
         asked.channel.address,
--- a/src/control_client/channels.rs
+++ b/src/control_client/channels.rs
@@ -84,12 +84,12 @@
     rng: SmallRng,
 }
 
-/// Address and number of a channel. The number prevents a call that times out late from discarding the channel that
-/// replaced its own.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ChannelRef {
+/// Channel of a replica. The number prevents a call that times out late from discarding the channel that replaced its own.
+#[derive(Debug, Clone)]
+pub(super) struct ReplicaChannel {
     pub(super) address: SocketAddr,
-    number: u64,
+    pub(super) number: u64,
+    channel: Channel,
 }
 
 impl ChannelTable {
@@ -130,7 +130,7 @@
     }
 
     /// Returns the channel of the replica in use, and creates it if needed.
-    pub(super) fn current(&self) -> Option<(ChannelRef, MeshChannel)> {
+    pub(super) fn current(&self) -> Option<ReplicaChannel> {
         let mut state = self.lock();
         let address = *state.addresses.get(state.selected)?;
         if !state.channels.contains_key(&address) {
@@ -141,16 +141,25 @@
             state.channels.insert(address, (number, channel));
         }
         let (number, channel) = state.channels.get(&address)?.clone();
-        let service = InterceptedService::new(channel, self.interceptor.clone());
-        Some((ChannelRef { address, number }, service))
+        Some(ReplicaChannel {
+            address,
+            number,
+            channel,
+        })
+    }
+
+    /// Returns the service that calls use.
+    pub(super) fn service(&self, channel: &ReplicaChannel) -> MeshChannel {
+        InterceptedService::new(channel.channel.clone(), self.interceptor.clone())
     }
 
-    /// Selects the next replica unless another call has done so. After a timeout the channel is discarded, since TCP
-    /// would otherwise keep the connection open for minutes.
-    pub(super) fn rotate(&self, channel: ChannelRef, is_timed_out: bool) {
+    /// Selects the next replica unless another call has done so. A channel without an answer is discarded, so that later
+    /// calls use a new connection: TCP keeps one open for minutes although its packets are lost. Calls that are pending
+    /// on it are not affected.
+    pub(super) fn rotate(&self, channel: &ReplicaChannel, is_unanswered: bool) {
         let mut state = self.lock();
         let held = state.channels.get(&channel.address);
-        if is_timed_out && held.is_some_and(|(current, _)| *current == channel.number) {
+        if is_unanswered && held.is_some_and(|(current, _)| *current == channel.number) {
             state.channels.remove(&channel.address);
         }
         if state.addresses.get(state.selected) == Some(&channel.address) {
@@ -158,11 +167,16 @@
         }
     }
 
-    /// Selects the replica that has answered.
-    pub(super) fn select(&self, address: SocketAddr) {
+    /// Selects the replica that has answered, and the channel on which it has.
+    pub(super) fn select(&self, channel: &ReplicaChannel) {
         let mut state = self.lock();
-        let position = state.addresses.iter().position(|listed| *listed == address);
-        state.selected = position.unwrap_or(state.selected);
+        let mut addresses = state.addresses.iter();
+        let Some(position) = addresses.position(|listed| *listed == channel.address) else {
+            return;
+        };
+        state.selected = position;
+        let held = (channel.number, channel.channel.clone());
+        state.channels.insert(channel.address, held);
     }
 
     fn lock(&self) -> MutexGuard<'_, ChannelState> {
--- a/src/control_client/hedged.rs
+++ b/src/control_client/hedged.rs
@@ -3,21 +3,19 @@
 //! A replica that answers late is told from one that does not answer only by waiting. Giving the late one up would drop an
 //! answer that is on its way, and a caller whose link or processor is busy would get no answer from any replica.
 
-use std::net::SocketAddr;
-
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tonic::{Response, Status};
 
-use super::channels::ChannelRef;
+use super::channels::ReplicaChannel;
 
 /// Largest number of replicas that one call waits for.
-const MAX_PENDING_CALLS: usize = 4;
+const MAX_PENDING_CALLS: usize = 8;
 
 /// Replica that a call was sent to.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct AskedReplica {
-    pub(super) channel: ChannelRef,
+    pub(super) channel: ReplicaChannel,
     pub(super) asked_at: Instant,
 }
 
@@ -51,18 +49,18 @@
         self.asked.len() < MAX_PENDING_CALLS
     }
 
-    pub(super) fn contains(&self, address: SocketAddr) -> bool {
-        self.asked
-            .iter()
-            .any(|asked| asked.channel.address == address)
+    /// Returns whether a call is pending on a channel.
+    pub(super) fn contains(&self, channel: &ReplicaChannel) -> bool {
+        let mut asked = self.asked.iter();
+        asked.any(|asked| asked.channel.number == channel.number)
     }
 
     /// Returns the replica that was asked last among those that have not answered.
-    pub(super) fn latest(&self) -> Option<ChannelRef> {
-        self.asked.last().map(|asked| asked.channel)
+    pub(super) fn latest(&self) -> Option<&ReplicaChannel> {
+        self.asked.last().map(|asked| &asked.channel)
     }
 
-    pub(super) fn start<F>(&mut self, channel: ChannelRef, call: F)
+    pub(super) fn start<F>(&mut self, channel: ReplicaChannel, call: F)
     where
         F: Future<Output = Result<Response<T>, Status>> + Send + 'static,
     {
@@ -70,7 +68,7 @@
             channel,
             asked_at: Instant::now(),
         };
-        self.asked.push(asked);
+        self.asked.push(asked.clone());
         self.tasks.spawn(async move {
             let result = call.await.map(Response::into_inner);
             CallEnd { asked, result }
@@ -82,8 +80,8 @@
         let end = self.tasks.join_next().await?;
         // The tasks are cancelled only when all of them are dropped.
         let end = end.expect("a call to a replica does not panic");
-        let address = end.asked.channel.address;
-        self.asked.retain(|asked| asked.channel.address != address);
+        let number = end.asked.channel.number;
+        self.asked.retain(|asked| asked.channel.number != number);
         Some(end)
     }
 
--- a/src/control_server/relay.rs
+++ b/src/control_server/relay.rs
@@ -31,6 +31,8 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time limit for a relayed heartbeat. The leader may hold its reply for about half of it. Nodes ask another replica sooner.
 const HEARTBEAT_RELAY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time, beyond that for which the leader may hold its reply, after which a heartbeat is relayed again on a new connection.
+const HEARTBEAT_RETRY_DELAY: Duration = Duration::from_millis(300);
 const OPERATOR_RELAY_TIMEOUT: Duration = Duration::from_millis(1_200);
 const MAX_CHANGE_ID_BYTES: usize = 64;
 // Largest accepted difference between a key's creation time and the replica's clock. A key from further in the future
@@ -109,9 +111,14 @@
             return self.inputs.ask(ask).await.map(Response::new);
         };
         request.relayed = true;
-        let call = |channel| async move { registry(channel).heartbeat(request).await };
+        let hold = Duration::from_millis(request.wait_ms.into());
+        let limits = [hold + HEARTBEAT_RETRY_DELAY, HEARTBEAT_RELAY_TIMEOUT];
+        let call = |channel| {
+            let request = request.clone();
+            async move { registry(channel).heartbeat(request).await }
+        };
         tokio::select! {
-            reply = self.links.call(&address, HEARTBEAT_RELAY_TIMEOUT, call) => reply.map(Response::new),
+            reply = self.links.call_twice(&address, limits, call) => reply.map(Response::new),
             () = self.wait_leader_change(&address) => Err(Status::unavailable("the leader changed")),
         }
     }
--- a/tests/following/mod.rs
+++ b/tests/following/mod.rs
@@ -27,6 +27,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Time within which the first version is in force everywhere.
 const START_TIME: Duration = Duration::from_secs(20);
+/// Time within which all replicas have joined.
+const JOIN_TIME: Duration = Duration::from_secs(6);
 const FAULT_PERIOD: Duration = Duration::from_secs(40);
 const CALM_PERIOD: Duration = Duration::from_secs(12);
 /// Time after which an operator sends a change again, to another replica.
@@ -105,6 +107,7 @@
         }
         sleep(CHECK_INTERVAL).await;
     }
+    sleep(JOIN_TIME).await;
     let faults_end = Instant::now() + FAULT_PERIOD;
     let end = faults_end + CALM_PERIOD;
     let operators = tokio::spawn(operate(Arc::clone(fleet), end));
