Name the parts of the simulated network by their role

Cause: single words such as Network, Link and Fleet do not tell a newcomer what is simulated, and the house style asks for two. Change: names in tests/following only.

--- a/tests/following/faults.rs
+++ b/tests/following/faults.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use super::processes::{NodeMachine, ReplicaMachine, machine};
-use super::{Fleet, SEEDS};
+use super::{SEEDS, SimulatedFleet};
 
 /// Time for which a replica counts as lost after it is back.
 const RECOVERY: Duration = Duration::from_secs(6);
@@ -94,7 +94,7 @@
     },
 }
 
-impl Fleet {
+impl SimulatedFleet {
     /// Draws a fault and injects it, if the replicas that are lost at present allow it.
     pub fn inject_fault(&mut self) {
         let Some(kind) = self.plan.kinds.choose(&mut self.rng).copied() else {
--- a/tests/following/mod.rs
+++ b/tests/following/mod.rs
@@ -20,8 +20,8 @@
 
 pub use faults::FaultKind;
 use faults::{FAULT_KINDS, LaterStep, log_uniform};
-use network::Network;
-use oracle::{Oracle, routes_of};
+use network::StreamNetwork;
+use oracle::{RouteOracle, routes_of};
 use processes::{NodeMachine, ReplicaMachine, machine};
 
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
@@ -51,13 +51,13 @@
 }
 
 #[derive(Debug)]
-struct Fleet {
+struct SimulatedFleet {
     rng: SmallRng,
     plan: FaultPlan,
-    network: Network,
+    network: StreamNetwork,
     replicas: Vec<ReplicaMachine>,
     nodes: Vec<NodeMachine>,
-    oracle: Oracle,
+    oracle: RouteOracle,
     lost_until: BTreeMap<SocketAddr, Instant>,
     steps: BTreeMap<(Instant, u64), LaterStep>,
     last_step: u64,
@@ -75,9 +75,9 @@
     pub longest_unstable: Duration,
 }
 
-type SharedFleet = Arc<Mutex<Fleet>>;
+type SharedFleet = Arc<Mutex<SimulatedFleet>>;
 
-fn lock(fleet: &SharedFleet) -> MutexGuard<'_, Fleet> {
+fn lock(fleet: &SharedFleet) -> MutexGuard<'_, SimulatedFleet> {
     fleet.lock().unwrap()
 }
 
@@ -89,7 +89,7 @@
         .build()
         .unwrap();
     let result = runtime.block_on(async {
-        let fleet = Arc::new(Mutex::new(Fleet::new(seed, kinds)));
+        let fleet = Arc::new(Mutex::new(SimulatedFleet::new(seed, kinds)));
         let result = play(&fleet).await;
         result.map_err(|error| format!("seed {seed}: {error}"))
     });
@@ -177,7 +177,7 @@
     loop {
         let routes = {
             let mut fleet = lock(fleet);
-            let Fleet { replicas, rng, .. } = &mut *fleet;
+            let SimulatedFleet { replicas, rng, .. } = &mut *fleet;
             replicas
                 .iter()
                 .filter_map(ReplicaMachine::routes)
@@ -201,7 +201,7 @@
     }
 }
 
-impl Fleet {
+impl SimulatedFleet {
     fn new(seed: u64, kinds: Option<&[FaultKind]>) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let size = *[3, 5, 5, 8].choose(&mut rng).expect("a size");
@@ -217,7 +217,7 @@
             loss: rng.random_range(0.01..0.3),
         };
         let base_delay = log_uniform(&mut rng, 0.000_3, 0.02);
-        let network = Network::new(rng.random(), base_delay);
+        let network = StreamNetwork::new(rng.random(), base_delay);
         let seeds: Vec<SocketAddr> = (1..=SEEDS as u8).map(|number| machine(0, number)).collect();
         let mut replicas = Vec::new();
         for number in 1..=size as u8 {
@@ -236,7 +236,7 @@
             network,
             replicas,
             nodes,
-            oracle: Oracle::new(),
+            oracle: RouteOracle::new(),
             lost_until: BTreeMap::new(),
             steps: BTreeMap::new(),
             last_step: 0,
--- a/tests/following/network.rs
+++ b/tests/following/network.rs
@@ -36,13 +36,13 @@
 pub type AcceptedStream = io::Result<DuplexStream>;
 
 #[derive(Debug)]
-struct Listener {
+struct NetworkListener {
     sender: UnboundedSender<AcceptedStream>,
 }
 
 /// Connection between two machines.
 #[derive(Debug)]
-struct Link {
+struct NetworkLink {
     ends: (SocketAddr, SocketAddr),
     reset: CancellationToken,
     is_silent: bool,
@@ -52,7 +52,7 @@
 struct NetworkState {
     rng: SmallRng,
     base_delay: Duration,
-    listeners: BTreeMap<SocketAddr, Listener>,
+    listeners: BTreeMap<SocketAddr, NetworkListener>,
     /// Pairs whose packets from the first to the second are dropped.
     blocked: BTreeSet<(SocketAddr, SocketAddr)>,
     /// Machines that neither send nor receive.
@@ -63,15 +63,15 @@
     queue_delays: BTreeMap<SocketAddr, Duration>,
     /// Fraction of the packets from and to a machine that are lost and sent again.
     losses: BTreeMap<SocketAddr, f64>,
-    links: BTreeMap<u64, Link>,
+    links: BTreeMap<u64, NetworkLink>,
     last_link: u64,
 }
 
 /// Handle of the network; clones share it.
 #[derive(Debug, Clone)]
-pub struct Network(Arc<Mutex<NetworkState>>);
+pub struct StreamNetwork(Arc<Mutex<NetworkState>>);
 
-impl Network {
+impl StreamNetwork {
     pub fn new(seed: u64, base_delay: Duration) -> Self {
         Self(Arc::new(Mutex::new(NetworkState {
             rng: SmallRng::seed_from_u64(seed),
@@ -94,7 +94,9 @@
     /// Starts to accept connections at an address.
     pub fn listen(&self, address: SocketAddr) -> UnboundedReceiver<AcceptedStream> {
         let (sender, receiver) = unbounded_channel();
-        self.state().listeners.insert(address, Listener { sender });
+        self.state()
+            .listeners
+            .insert(address, NetworkListener { sender });
         receiver
     }
 
@@ -187,7 +189,7 @@
         state.last_link += 1;
         let number = state.last_link;
         let reset = CancellationToken::new();
-        let link = Link {
+        let link = NetworkLink {
             ends: (from, to),
             reset: reset.clone(),
             is_silent: false,
@@ -294,14 +296,14 @@
             && !self.dark.contains(&to)
     }
 
-    fn reset_links(&self, is_chosen: impl Fn(&Link) -> bool) {
+    fn reset_links(&self, is_chosen: impl Fn(&NetworkLink) -> bool) {
         for link in self.links.values().filter(|link| is_chosen(link)) {
             link.reset.cancel();
         }
     }
 }
 
-impl Link {
+impl NetworkLink {
     fn touches(&self, address: SocketAddr) -> bool {
         self.ends.0 == address || self.ends.1 == address
     }
@@ -310,7 +312,7 @@
 /// Opens connections of one machine.
 #[derive(Debug)]
 pub struct NetworkOpener {
-    pub network: Network,
+    pub network: StreamNetwork,
     pub own: SocketAddr,
 }
 
@@ -326,7 +328,7 @@
 /// Connects to the address in a URI.
 #[derive(Debug)]
 struct NetworkConnector {
-    network: Network,
+    network: StreamNetwork,
     own: SocketAddr,
 }
 
--- a/tests/following/oracle.rs
+++ b/tests/following/oracle.rs
@@ -26,7 +26,7 @@
 }
 
 #[derive(Debug)]
-pub struct Oracle {
+pub struct RouteOracle {
     began_at: Instant,
     changes: BTreeMap<u64, SentChange>,
     core_calm_from: Instant,
@@ -37,7 +37,7 @@
     pub longest_unstable: Duration,
 }
 
-impl Oracle {
+impl RouteOracle {
     pub fn new() -> Self {
         Self {
             began_at: Instant::now(),
--- a/tests/following/processes.rs
+++ b/tests/following/processes.rs
@@ -17,7 +17,7 @@
 use tokio_stream::wrappers::UnboundedReceiverStream;
 
 use super::disk::SimulatedDisk;
-use super::network::{Network, NetworkOpener};
+use super::network::{NetworkOpener, StreamNetwork};
 
 /// Pause between two turns of a sound replica.
 const TURN_PAUSE: Duration = Duration::from_millis(1);
@@ -55,13 +55,13 @@
     pub address: SocketAddr,
     pub disk: SimulatedDisk,
     seeds: Vec<SocketAddr>,
-    network: Network,
+    network: StreamNetwork,
     status: Arc<ReplicaStatus>,
     process: Option<(JoinSet<()>, ReplicaServices)>,
 }
 
 impl ReplicaMachine {
-    pub fn new(address: SocketAddr, network: &Network, disk_id: [u8; 16]) -> Self {
+    pub fn new(address: SocketAddr, network: &StreamNetwork, disk_id: [u8; 16]) -> Self {
         Self {
             address,
             disk: SimulatedDisk::new(disk_id),
@@ -171,7 +171,7 @@
 pub struct NodeMachine {
     pub address: SocketAddr,
     pub gateway: FollowingGateway,
-    network: Network,
+    network: StreamNetwork,
     reports: u64,
     incarnations: u64,
 }
@@ -180,7 +180,7 @@
     pub fn start(
         address: SocketAddr,
         seeds: Vec<SocketAddr>,
-        network: &Network,
+        network: &StreamNetwork,
         seed: u64,
     ) -> Self {
         let opener = NetworkOpener {
