--- a/src/control_server/answers.rs
+++ b/src/control_server/answers.rs
@@ -34,7 +34,7 @@
 /// Heartbeat whose reply is held until there are changes to report (long polling).
 #[derive(Debug)]
 pub(super) struct HeldHeartbeat {
-    request: HeartbeatRequest,
+    request: Box<HeartbeatRequest>,
     reply: ReplySender<HeartbeatReply>,
     until: TickTime,
 }
@@ -52,6 +52,7 @@
     };
     reply.routes.is_some()
         || reply.suspects.is_some()
+        || reply.asks_suspects
         || reply.plans.is_some()
         || !reply.shares.is_empty()
         || reply.directory.as_ref().is_some_and(is_changed)
@@ -82,7 +83,7 @@
     /// is held.
     pub(super) fn receive_heartbeat(
         &mut self,
-        request: HeartbeatRequest,
+        request: Box<HeartbeatRequest>,
         reply: ReplySender<HeartbeatReply>,
     ) {
         let announced = self.announce(&request);
--- a/src/control_server/leader.rs
+++ b/src/control_server/leader.rs
@@ -14,7 +14,7 @@
 };
 use crate::plans::PlanBook;
 use crate::shares::{RateDemand, ShareLedger};
-use crate::suspects::SuspectLedger;
+use crate::suspects::{ListPosition, SuspectLedger};
 use crate::types::{NodeId, ServiceName, TickTime};
 
 const MAX_RATE_DEMANDS: usize = 10_000;
@@ -49,7 +49,7 @@
             term,
             leases: LeaseTable::new(term, now),
             shares: ShareLedger::new(now),
-            suspects: SuspectLedger::default(),
+            suspects: SuspectLedger::new(term, now),
             departures: DepartureTable::default(),
         }
     }
@@ -63,11 +63,16 @@
         let node = request.node.clone().ok_or_else(missing_node_status)?;
         self.departures
             .record(now, &node.mesh_address, &request.departed);
-        for end in &request.ends {
-            self.suspects.record(now, &end.into());
+        if let Some(held) = &request.held_suspects {
+            self.suspects.inherit(now, &held.into());
         }
-        for digest in &request.cleared {
-            self.suspects.clear((*digest).into());
+        if !self.asks_suspects(request) {
+            for end in &request.ends {
+                self.suspects.record(now, &end.into());
+            }
+            for digest in &request.cleared {
+                self.suspects.clear((*digest).into());
+            }
         }
         self.leases
             .announce(now, node, request.plan_version, request.sequence)
@@ -104,6 +109,7 @@
             } else {
                 Vec::new()
             },
+            asks_suspects: self.asks_suspects(request),
         })
     }
 
@@ -111,19 +117,25 @@
     pub(super) fn has_updates(&self, request: &HeartbeatRequest) -> bool {
         let is_directory_behind = request.directory_term == self.term
             && request.directory_revision != self.leases.revision();
-        is_directory_behind || self.is_suspect_list_behind(request)
+        is_directory_behind || self.is_suspect_list_behind(request) || self.asks_suspects(request)
+    }
+
+    /// Returns whether the node must hand its list of suspects over, because it includes more than this leader knows.
+    fn asks_suspects(&self, request: &HeartbeatRequest) -> bool {
+        request.hands_over_suspects && self.suspects.needs(held_list(request))
     }
 
     fn is_suspect_list_behind(&self, request: &HeartbeatRequest) -> bool {
-        let held = (request.suspect_term, request.suspect_revision);
-        request.tracks_suspects && held != (self.term, self.suspects.revision())
+        let latest = ListPosition {
+            term: self.term,
+            revision: self.suspects.revision(),
+        };
+        request.tracks_suspects && held_list(request) != latest
     }
 
     fn suspects_for(&self, now: TickTime, request: &HeartbeatRequest) -> Option<SuspectSet> {
-        self.is_suspect_list_behind(request).then(|| SuspectSet {
-            revision: self.suspects.revision(),
-            rows: self.suspects.rows(now).iter().map(Into::into).collect(),
-        })
+        let is_due = self.is_suspect_list_behind(request) && !self.asks_suspects(request);
+        is_due.then(|| (&self.suspects.snapshot(now)).into())
     }
 
     pub(super) fn expire(&mut self, now: TickTime) {
@@ -182,6 +194,14 @@
     }
 }
 
+/// Returns the position of the list of suspects that a node holds.
+fn held_list(request: &HeartbeatRequest) -> ListPosition {
+    ListPosition {
+        term: request.suspect_term,
+        revision: request.suspect_revision,
+    }
+}
+
 fn missing_node_status() -> Status {
     Status::invalid_argument("the node is missing")
 }
--- a/src/control_server/relay.rs
+++ b/src/control_server/relay.rs
@@ -107,6 +107,7 @@
     ) -> Result<Response<HeartbeatReply>, Status> {
         let mut request = request.into_inner();
         let Some(address) = self.relay_address(request.relayed)? else {
+            let request = Box::new(request);
             let ask = |reply| ReplicaInput::Heartbeat { request, reply };
             return self.inputs.ask(ask).await.map(Response::new);
         };
--- a/src/control_server/requests.rs
+++ b/src/control_server/requests.rs
@@ -25,7 +25,7 @@
     },
     /// Heartbeat of a node.
     Heartbeat {
-        request: HeartbeatRequest,
+        request: Box<HeartbeatRequest>,
         reply: ReplySender<HeartbeatReply>,
     },
     /// Command to append to the replicated log.
--- a/src/gateway/suspect_watch.rs
+++ b/src/gateway/suspect_watch.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::generated::{HeartbeatReply, HeartbeatRequest};
-use crate::suspects::{EndedRequest, RequestDigest, SuspectList, SuspectRow, TargetEnd};
+use crate::suspects::{EndedRequest, RequestDigest, SuspectList, SuspectSnapshot, TargetEnd};
 use crate::types::{NodeId, TickTime};
 
 use super::hop::HopRequest;
@@ -55,6 +55,8 @@
     ends: VecDeque<RecordedEnd>,
     last_number: u64,
     received: ReportPosition,
+    /// Whether the leader has asked for the list.
+    is_list_wanted: bool,
     cleared: BTreeSet<RequestDigest>,
 }
 
@@ -160,7 +162,12 @@
     /// Adds to a heartbeat what the leader may not know.
     pub(super) fn fill(&self, now: TickTime, request: &mut HeartbeatRequest) {
         let state = lock(&self.state);
-        (request.suspect_term, request.suspect_revision) = state.list.position();
+        let position = state.list.position();
+        (request.suspect_term, request.suspect_revision) = (position.term, position.revision);
+        request.hands_over_suspects = true;
+        request.held_suspects = state
+            .is_list_wanted
+            .then(|| (&state.list.snapshot(now)).into());
         let received = state.received.number;
         let unreceived = state.ends.iter().filter(|it| it.number > received);
         request.ends = unreceived
@@ -191,6 +198,11 @@
         reply: &HeartbeatReply,
     ) {
         let mut state = lock(&self.state);
+        state.is_list_wanted = reply.asks_suspects;
+        if reply.asks_suspects {
+            log::info!("event=suspects_wanted term={}", reply.term);
+            return;
+        }
         for digest in cleared {
             state.cleared.remove(&(*digest).into());
         }
@@ -207,17 +219,22 @@
         let Some(set) = &reply.suspects else {
             return;
         };
-        let rows: Vec<SuspectRow> = set.rows.iter().map(Into::into).collect();
-        let held = rows.iter().filter(|row| row.hold.is_some()).count();
-        if !rows.is_empty() || !state.list.is_empty() {
+        let mut snapshot = SuspectSnapshot::from(set);
+        snapshot.position.term = reply.term;
+        let had_suspects = !state.list.is_empty();
+        let is_adopted = state.list.adopt(now, &snapshot);
+        let held = snapshot.rows.iter().filter(|row| row.hold.is_some());
+        if !snapshot.rows.is_empty() || had_suspects || !is_adopted {
             log::info!(
-                "event=suspects term={} revision={} rows={} held={held}",
-                reply.term,
-                set.revision,
-                rows.len()
+                "event=suspects term={} revision={} rows={} held={} base_term={} base_revision={} adopted={is_adopted}",
+                snapshot.position.term,
+                snapshot.position.revision,
+                snapshot.rows.len(),
+                held.count(),
+                snapshot.base.term,
+                snapshot.base.revision,
             );
         }
-        state.list.adopt(now, reply.term, set.revision, &rows);
     }
 
     /// Returns the number of the latest end.
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -106,6 +106,8 @@
         tracks_suspects: false,
         suspect_term: 0,
         suspect_revision: 0,
+        hands_over_suspects: false,
+        held_suspects: None,
         ends: Vec::new(),
         cleared: Vec::new(),
         departed: Vec::new(),
--- a/src/suspects.rs
+++ b/src/suspects.rs
@@ -4,7 +4,10 @@
 mod ledger;
 mod list;
 mod message;
+mod snapshot;
+mod state;
 
 pub use digest::RequestDigest;
-pub use ledger::{EndedRequest, SuspectLedger, SuspectRow, TargetEnd};
+pub use ledger::{EndedRequest, SuspectLedger, TargetEnd};
 pub use list::SuspectList;
+pub use snapshot::{ListPosition, SuspectRow, SuspectSnapshot};
--- a/src/suspects/ledger.rs
+++ b/src/suspects/ledger.rs
@@ -1,25 +1,17 @@
 //! The leader's record of the requests that were at work when targets ended.
 
-use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use crate::types::TickTime;
 
 use super::RequestDigest;
+use super::snapshot::{ListPosition, SuspectRow, SuspectSnapshot};
+use super::state::{HOLD_TIME, SuspectState};
 
-/// Number of ends of targets, each in a run of the request that began after the end before it, from which a request is held
-/// back.
-const HELD_ROUNDS: u32 = 2;
-/// Time for which a request is held back after the last end under it.
-const HOLD_TIME: Duration = Duration::from_mins(2);
-/// Time for which a request stays suspect after a single end.
-const SUSPECT_TIME: Duration = Duration::from_secs(30);
-/// Difference that the ways of two reports to the leader may make between their times.
-const REPORT_DELAY: Duration = Duration::from_millis(30);
-/// Maximum number of suspects. A target that ends adds one for each request at work there.
-const MAX_SUSPECTS: usize = 1_024;
-/// Number of reported ends that are remembered, so that a repeated report is not counted twice.
-const MAX_ENDS: usize = 1_024;
+/// Maximum memory for the reports of a term, beyond which a later list of an earlier term is not taken any more.
+const MAX_REPORT_BYTES: usize = 256 * 1024;
+/// Added to all times, since ends may be older than this process.
+const TIME_OFFSET: Duration = Duration::from_hours(1);
 
 /// Request that was at work at a target when the target ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,34 +33,26 @@
     pub requests: Vec<EndedRequest>,
 }
 
-/// Suspect as it is told to nodes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SuspectRow {
-    /// Identity of the request.
-    pub digest: RequestDigest,
-    /// Time for which it is still held back; `None` if it may be sent.
-    pub hold: Option<Duration>,
+#[derive(Debug)]
+enum ReportedEvent {
+    Ended(TickTime, TargetEnd),
+    Answered(RequestDigest),
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Suspect {
-    rounds: u32,
-    /// End of a target that was counted last.
-    ended_at: TickTime,
-}
-
-impl Suspect {
-    fn is_held(&self) -> bool {
-        self.rounds >= HELD_ROUNDS
+impl ReportedEvent {
+    fn bytes(&self) -> usize {
+        let requests = match self {
+            Self::Ended(_, end) => size_of_val(end.requests.as_slice()),
+            Self::Answered(_) => 0,
+        };
+        size_of::<Self>() + requests
     }
 
-    fn until(&self) -> TickTime {
-        let span = if self.is_held() {
-            HOLD_TIME
-        } else {
-            SUSPECT_TIME
-        };
-        self.ended_at + span
+    fn apply(&self, state: &mut SuspectState) -> bool {
+        match self {
+            Self::Ended(at, end) => state.record(*at, end),
+            Self::Answered(digest) => state.clear(*digest),
+        }
     }
 }
 
@@ -78,109 +62,129 @@
 /// answer. When a target ends under requests of which some are suspects already, these explain its end and the others are
 /// not counted. Only a run that began after the end before it counts as another round: targets that end together, for a
 /// cause of their own, are one round for a request that was at work at all of them.
+///
+/// A new leader continues with the latest list of the leader before, which the nodes hand over. Reports of its own term are
+/// kept so that they can be applied to a later list that another node hands over.
 #[derive(Debug, Default)]
 pub struct SuspectLedger {
-    suspects: BTreeMap<RequestDigest, Suspect>,
-    ends: VecDeque<u64>,
+    term: u64,
     revision: u64,
+    /// Position of the list that the reports are applied to.
+    base: ListPosition,
+    state: SuspectState,
+    /// Reports of this term; `None` once earlier lists are no longer taken.
+    reports: Option<Vec<ReportedEvent>>,
+    report_bytes: usize,
+    closes_at: TickTime,
 }
 
 impl SuspectLedger {
+    /// Creates the ledger of a leader whose term begins now.
+    pub fn new(term: u64, now: TickTime) -> Self {
+        Self {
+            term,
+            reports: Some(Vec::new()),
+            // All suspects of earlier lists have expired then, unless a node of this term has reported them.
+            closes_at: now + HOLD_TIME,
+            ..Self::default()
+        }
+    }
+
     /// Returns the number of the last change of the suspects.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
-    /// Records the end of a target. A repeated report has no effect.
-    pub fn record(&mut self, now: TickTime, end: &TargetEnd) {
-        if self.ends.contains(&end.incarnation) {
-            return;
-        }
-        if self.ends.len() == MAX_ENDS {
-            self.ends.pop_front();
-        }
-        self.ends.push_back(end.incarnation);
-        let ended_at = now - end.age;
-        let rounds_of = |request: &EndedRequest| {
-            let known = self.suspects.get(&request.digest);
-            known.map_or(0, |suspect| suspect.rounds)
-        };
-        let most_rounds = end.requests.iter().map(rounds_of).max().unwrap_or(0);
-        // The same request may have been at work there several times, which is one round: that of its latest run.
-        let mut blamed: BTreeMap<RequestDigest, Duration> = BTreeMap::new();
-        for request in &end.requests {
-            if rounds_of(request) == most_rounds {
-                let shortest = blamed.entry(request.digest).or_insert(request.run_time);
-                *shortest = request.run_time.min(*shortest);
-            }
-        }
-        for (digest, run_time) in blamed {
-            self.blame(ended_at, EndedRequest { digest, run_time });
-        }
-        self.evict_least_suspected();
-        self.revision += 1;
+    /// Returns whether a node holds a later list of an earlier term than this ledger is based on. Its reports must not be
+    /// applied before its list.
+    pub fn needs(&self, held: ListPosition) -> bool {
+        self.reports.is_some() && held.term < self.term && held > self.base
     }
 
-    fn blame(&mut self, ended_at: TickTime, request: EndedRequest) {
-        let Some(suspect) = self.suspects.get_mut(&request.digest) else {
-            let suspect = Suspect {
-                rounds: 1,
-                ended_at,
-            };
-            self.suspects.insert(request.digest, suspect);
-            return;
-        };
-        let handed_over_at = ended_at - request.run_time;
-        if handed_over_at + REPORT_DELAY < suspect.ended_at {
+    /// Continues with the list of an earlier leader, unless a later one is known.
+    pub fn inherit(&mut self, now: TickTime, snapshot: &SuspectSnapshot) {
+        let now = now + TIME_OFFSET;
+        if !self.needs(snapshot.position) {
             return;
         }
-        suspect.rounds += 1;
-        suspect.ended_at = suspect.ended_at.max(ended_at);
-        if suspect.rounds == HELD_ROUNDS {
-            log::warn!(event = "request-held", digest:% = request.digest; "");
+        let Some(reports) = &self.reports else {
+            return;
+        };
+        log::info!(
+            event = "suspects-inherited", term = self.term, base_term = snapshot.position.term,
+            base_revision = snapshot.position.revision, rows = snapshot.rows.len(), reports = reports.len(); ""
+        );
+        self.base = snapshot.position;
+        self.state = SuspectState::restore(now, snapshot);
+        for report in reports {
+            report.apply(&mut self.state);
         }
+        self.revision += 1;
     }
 
-    fn evict_least_suspected(&mut self) {
-        while self.suspects.len() > MAX_SUSPECTS {
-            let least = self
-                .suspects
-                .iter()
-                .min_by_key(|(_, suspect)| (suspect.rounds, suspect.ended_at));
-            let Some((&digest, _)) = least else {
-                return;
-            };
-            log::warn!(event = "suspect-evicted", digest:% = digest; "");
-            self.suspects.remove(&digest);
-        }
+    /// Records the end of a target. A repeated report has no effect.
+    pub fn record(&mut self, now: TickTime, end: &TargetEnd) {
+        let event = ReportedEvent::Ended(now + TIME_OFFSET, end.clone());
+        self.apply(event);
     }
 
     /// Removes a request that a target has answered.
     pub fn clear(&mut self, digest: RequestDigest) {
-        if self.suspects.remove(&digest).is_some() {
+        if self.apply(ReportedEvent::Answered(digest)) {
             log::info!(event = "suspect-cleared", digest:% = digest; "");
-            self.revision += 1;
         }
     }
 
+    /// Returns whether the suspects have changed.
+    fn apply(&mut self, event: ReportedEvent) -> bool {
+        let is_change = event.apply(&mut self.state);
+        self.revision += u64::from(is_change);
+        // A later list may have a request that this one does not have any more.
+        if !is_change && matches!(event, ReportedEvent::Ended(..)) {
+            return false;
+        }
+        self.report_bytes += event.bytes();
+        if self.report_bytes > MAX_REPORT_BYTES {
+            self.close("memory");
+        }
+        if let Some(reports) = &mut self.reports {
+            reports.push(event);
+        }
+        is_change
+    }
+
     /// Removes suspects whose time is over.
     pub fn expire(&mut self, now: TickTime) {
-        let before = self.suspects.len();
-        self.suspects.retain(|_, suspect| suspect.until() > now);
-        if self.suspects.len() != before {
+        if self.state.expire(now + TIME_OFFSET) {
             self.revision += 1;
         }
+        if now >= self.closes_at {
+            self.close("time");
+        }
+    }
+
+    /// Takes no more lists of earlier terms.
+    fn close(&mut self, reason: &str) {
+        if let Some(reports) = self.reports.take() {
+            log::info!(event = "suspects-closed", term = self.term, reason, reports = reports.len(); "");
+        }
     }
 
     /// Returns all suspects.
     pub fn rows(&self, now: TickTime) -> Vec<SuspectRow> {
-        let suspects = self.suspects.iter();
-        let rows = suspects.map(|(&digest, suspect)| SuspectRow {
-            digest,
-            hold: suspect
-                .is_held()
-                .then(|| suspect.until().saturating_since(now)),
-        });
-        rows.collect()
+        self.state.rows(now + TIME_OFFSET)
+    }
+
+    /// Returns the list for nodes.
+    pub fn snapshot(&self, now: TickTime) -> SuspectSnapshot {
+        SuspectSnapshot {
+            position: ListPosition {
+                term: self.term,
+                revision: self.revision,
+            },
+            base: self.base,
+            rows: self.rows(now),
+            ends: self.state.ends(),
+        }
     }
 }
--- a/src/suspects/list.rs
+++ b/src/suspects/list.rs
@@ -5,59 +5,97 @@
 
 use crate::types::TickTime;
 
-use super::{RequestDigest, SuspectRow};
+use super::RequestDigest;
+use super::snapshot::{ListPosition, SuspectRow, SuspectSnapshot};
 
-/// Suspects of the latest reply of a leader, and those that are held back by earlier ones of another term.
+#[derive(Debug, Clone, Copy)]
+struct ListedSuspect {
+    rounds: u32,
+    is_held: bool,
+    until: TickTime,
+}
+
+/// The latest list of a leader, without the requests that the node's target has answered since.
 #[derive(Debug, Default)]
 pub struct SuspectList {
-    term: u64,
-    revision: u64,
-    /// End of the hold; `None` if the request may be sent.
-    held_until: BTreeMap<RequestDigest, Option<TickTime>>,
+    position: ListPosition,
+    base: ListPosition,
+    suspects: BTreeMap<RequestDigest, ListedSuspect>,
+    ends: Vec<u64>,
 }
 
 impl SuspectList {
     /// Returns term and revision of the list.
-    pub fn position(&self) -> (u64, u64) {
-        (self.term, self.revision)
+    pub fn position(&self) -> ListPosition {
+        self.position
     }
 
     /// Returns whether there is no suspect.
     pub fn is_empty(&self) -> bool {
-        self.held_until.is_empty()
+        self.suspects.is_empty()
     }
 
-    /// Replaces the list. A new leader learns of earlier ends only gradually, so requests that are held back stay held when
-    /// the term changes.
-    pub fn adopt(&mut self, now: TickTime, term: u64, revision: u64, rows: &[SuspectRow]) {
-        if (term, revision) < self.position() {
-            return;
+    /// Replaces the list and returns whether it did. A list of a new leader that does not include the one held is not taken as
+    /// long as that one has suspects: the leader gets it with the next heartbeat.
+    pub fn adopt(&mut self, now: TickTime, snapshot: &SuspectSnapshot) -> bool {
+        if snapshot.position < self.position {
+            return false;
+        }
+        self.suspects.retain(|_, suspect| suspect.until > now);
+        let is_included =
+            snapshot.position.term == self.position.term || snapshot.base >= self.position;
+        if !is_included && !self.is_empty() {
+            return false;
         }
-        let is_same_term = term == self.term;
-        self.held_until
-            .retain(|_, until| !is_same_term && until.is_some_and(|until| until > now));
-        for row in rows {
-            let until = row.hold.map(|hold| now + hold);
-            let held = self.held_until.entry(row.digest).or_default();
-            *held = (*held).max(until);
+        let rows = snapshot.rows.iter();
+        let suspects = rows.map(|row| {
+            let suspect = ListedSuspect {
+                rounds: row.rounds,
+                is_held: row.hold.is_some(),
+                until: now + row.hold.unwrap_or(row.time_left),
+            };
+            (row.digest, suspect)
+        });
+        self.suspects = suspects.collect();
+        self.ends.clone_from(&snapshot.ends);
+        (self.position, self.base) = (snapshot.position, snapshot.base);
+        true
+    }
+
+    /// Returns the list for the next leader.
+    pub fn snapshot(&self, now: TickTime) -> SuspectSnapshot {
+        let suspects = self.suspects.iter();
+        let rows = suspects.filter_map(|(&digest, suspect)| {
+            let time_left = suspect.until.saturating_since(now);
+            (!time_left.is_zero()).then(|| SuspectRow {
+                digest,
+                hold: suspect.is_held.then_some(time_left),
+                rounds: suspect.rounds,
+                time_left,
+            })
+        });
+        SuspectSnapshot {
+            position: self.position,
+            base: self.base,
+            rows: rows.collect(),
+            ends: self.ends.clone(),
         }
-        (self.term, self.revision) = (term, revision);
     }
 
     /// Returns whether a target has ended under the request.
     pub fn contains(&self, digest: RequestDigest) -> bool {
-        self.held_until.contains_key(&digest)
+        self.suspects.contains_key(&digest)
     }
 
     /// Returns the time for which a request is held back, or `None` if it may be sent.
     pub fn hold(&self, now: TickTime, digest: RequestDigest) -> Option<Duration> {
-        let until = (*self.held_until.get(&digest)?)?;
-        let hold = until.saturating_since(now);
+        let suspect = self.suspects.get(&digest).filter(|it| it.is_held)?;
+        let hold = suspect.until.saturating_since(now);
         (!hold.is_zero()).then_some(hold)
     }
 
     /// Removes a request that a target has answered.
     pub fn clear(&mut self, digest: RequestDigest) {
-        self.held_until.remove(&digest);
+        self.suspects.remove(&digest);
     }
 }
--- a/src/suspects/message.rs
+++ b/src/suspects/message.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use crate::generated::{
-    EndedRequest as EndedMessage, SuspectRow as RowMessage, TargetEnd as EndMessage,
+    EndedRequest as EndedMessage, SuspectRow as RowMessage, SuspectSet as SetMessage,
+    TargetEnd as EndMessage,
 };
 
-use super::{EndedRequest, RequestDigest, SuspectRow, TargetEnd};
+use super::{EndedRequest, ListPosition, RequestDigest, SuspectRow, SuspectSnapshot, TargetEnd};
 
 impl From<&TargetEnd> for EndMessage {
     fn from(end: &TargetEnd) -> Self {
@@ -41,6 +42,8 @@
         Self {
             digest: row.digest.to_bits(),
             hold_ms: row.hold.map_or(0, |hold| hold.as_millis() as u64),
+            rounds: row.rounds,
+            left_ms: row.time_left.as_millis() as u64,
         }
     }
 }
@@ -50,6 +53,38 @@
         Self {
             digest: RequestDigest::from_bits(message.digest),
             hold: (message.hold_ms > 0).then(|| Duration::from_millis(message.hold_ms)),
+            rounds: message.rounds,
+            time_left: Duration::from_millis(message.left_ms),
+        }
+    }
+}
+
+impl From<&SuspectSnapshot> for SetMessage {
+    fn from(snapshot: &SuspectSnapshot) -> Self {
+        Self {
+            term: snapshot.position.term,
+            revision: snapshot.position.revision,
+            base_term: snapshot.base.term,
+            base_revision: snapshot.base.revision,
+            rows: snapshot.rows.iter().map(Into::into).collect(),
+            ends: snapshot.ends.clone(),
+        }
+    }
+}
+
+impl From<&SetMessage> for SuspectSnapshot {
+    fn from(message: &SetMessage) -> Self {
+        Self {
+            position: ListPosition {
+                term: message.term,
+                revision: message.revision,
+            },
+            base: ListPosition {
+                term: message.base_term,
+                revision: message.base_revision,
+            },
+            rows: message.rows.iter().map(Into::into).collect(),
+            ends: message.ends.clone(),
         }
     }
 }
--- a/tests/support/registry.rs
+++ b/tests/support/registry.rs
@@ -168,6 +168,7 @@
             leader_id: 1,
             route_age_ms: 0,
             suspects: None,
+            asks_suspects: false,
             departed: Vec::new(),
         }))
     }
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use ebonyjunction::suspects::{
-    EndedRequest, RequestDigest, SuspectLedger, SuspectList, SuspectRow, TargetEnd,
+    EndedRequest, ListPosition, RequestDigest, SuspectLedger, SuspectList, SuspectRow,
+    SuspectSnapshot, TargetEnd,
 };
 use ebonyjunction::types::TickTime;
 
@@ -134,6 +135,16 @@
     assert_ne!(of("GET", "h", "/ab", b""), of("GET", "h/a", "b", b""));
 }
 
+fn list_of(position: (u64, u64), base: (u64, u64), rows: &[SuspectRow]) -> SuspectSnapshot {
+    let position_of = |(term, revision)| ListPosition { term, revision };
+    SuspectSnapshot {
+        position: position_of(position),
+        base: position_of(base),
+        rows: rows.to_vec(),
+        ends: Vec::new(),
+    }
+}
+
 // Guards against a request that is sent again because the leader has changed and does not know of earlier ends yet.
 #[test]
 fn adopt_new_term_keeps_holds() {
@@ -141,14 +152,131 @@
     let row = |path: &str, hold_s| SuspectRow {
         digest: digest(path),
         hold: Some(Duration::from_secs(hold_s)),
+        rounds: 2,
+        time_left: Duration::from_secs(hold_s),
     };
-    list.adopt(at(0), 3, 5, &[row("/deadly", 100), row("/short", 1)]);
-    list.adopt(at(2_000), 4, 0, &[]);
+    let rows = [row("/deadly", 100), row("/short", 1)];
+    list.adopt(at(0), &list_of((3, 5), (0, 0), &rows));
+    list.adopt(at(2_000), &list_of((4, 0), (0, 0), &[]));
     assert!(list.hold(at(2_000), digest("/deadly")).is_some());
     assert!(list.hold(at(2_000), digest("/short")).is_none());
+    // The new leader has the list by now.
+    let handed_over = [row("/deadly", 98)];
+    list.adopt(at(2_000), &list_of((4, 0), (3, 5), &handed_over));
     // A late reply of the earlier term changes nothing.
-    list.adopt(at(2_000), 3, 6, &[]);
+    list.adopt(at(2_000), &list_of((3, 6), (0, 0), &[]));
     assert!(list.hold(at(2_000), digest("/deadly")).is_some());
-    list.adopt(at(3_000), 4, 1, &[]);
+    list.adopt(at(3_000), &list_of((4, 1), (3, 5), &[]));
     assert!(list.is_empty());
 }
+
+/// Leader of the next term that takes the list of a node.
+fn next_leader(now: TickTime, term: u64, node: &SuspectList) -> SuspectLedger {
+    let mut ledger = SuspectLedger::new(term, now);
+    assert!(ledger.needs(node.position()));
+    ledger.inherit(now, &node.snapshot(now));
+    ledger
+}
+
+// Guards against a request that is held back by a new leader, although targets answered it after each end that nodes report
+// again.
+#[test]
+fn inherit_answered_request_stays_cleared() {
+    let ends = [end(1, &[("/popular", 10)]), end(2, &[("/popular", 10)])];
+    let mut former = SuspectLedger::new(3, at(0));
+    for (index, ended) in ends.iter().enumerate() {
+        former.record(at(1_000 + index as u64 * 3_000), ended);
+        former.clear(digest("/popular"));
+    }
+    let mut node = SuspectList::default();
+    node.adopt(at(5_000), &former.snapshot(at(5_000)));
+    // The new leader's process starts later than the targets ended.
+    let mut ledger = next_leader(at(200), 4, &node);
+    for (ended, age_s) in ends.iter().zip([9, 6]) {
+        let age = Duration::from_secs(age_s);
+        ledger.record(
+            at(300),
+            &TargetEnd {
+                age,
+                ..ended.clone()
+            },
+        );
+    }
+    assert!(ledger.rows(at(300)).is_empty());
+}
+
+// Guards against a request that is sent again because the node beside the targets that it ended is gone when the leader
+// changes.
+#[test]
+fn inherit_held_request_stays_held() {
+    let mut former = SuspectLedger::new(3, at(0));
+    former.record(at(1_000), &end(1, &[("/deadly", 80)]));
+    former.record(at(1_300), &end(2, &[("/deadly", 90)]));
+    let mut node = SuspectList::default();
+    node.adopt(at(1_300), &former.snapshot(at(1_300)));
+    let mut ledger = next_leader(at(21_300), 4, &node);
+    assert_eq!(held(&ledger, at(21_300)), [digest("/deadly")]);
+    let mut restarted_node = SuspectList::default();
+    restarted_node.adopt(at(50), &ledger.snapshot(at(21_300)));
+    assert!(restarted_node.hold(at(50), digest("/deadly")).is_some());
+    // The hold lasts from the end, not from the change of the leader.
+    ledger.expire(at(1_300 + 119_000));
+    assert_eq!(held(&ledger, at(1_300 + 119_000)), [digest("/deadly")]);
+    ledger.expire(at(1_300 + 121_000));
+    assert!(ledger.rows(at(1_300 + 121_000)).is_empty());
+}
+
+// Guards against a new leader that counts from the start, so that a request ends one more target than it must.
+#[test]
+fn inherit_first_round_counts() {
+    let mut former = SuspectLedger::new(3, at(0));
+    former.record(at(1_000), &end(1, &[("/deadly", 80)]));
+    let mut node = SuspectList::default();
+    node.adopt(at(1_000), &former.snapshot(at(1_000)));
+    let mut ledger = next_leader(at(2_000), 4, &node);
+    ledger.record(at(2_300), &end(2, &[("/deadly", 90), ("/innocent", 90)]));
+    assert_eq!(held(&ledger, at(2_300)), [digest("/deadly")]);
+}
+
+// Guards against a leader that depends on which node reports first: the list of one that is behind comes before the end and
+// the answer that the other nodes report.
+#[test]
+fn inherit_later_list_after_reports() {
+    let mut former = SuspectLedger::new(3, at(0));
+    let (mut early, mut late) = (SuspectList::default(), SuspectList::default());
+    former.record(at(1_000), &end(1, &[("/popular", 80), ("/slow", 80)]));
+    early.adopt(at(1_000), &former.snapshot(at(1_000)));
+    former.record(at(1_300), &end(2, &[("/deadly", 90)]));
+    former.record(at(1_600), &end(3, &[("/deadly", 90)]));
+    former.clear(digest("/popular"));
+    late.adopt(at(1_700), &former.snapshot(at(1_700)));
+    let mut ledger = next_leader(at(2_000), 4, &early);
+    ledger.record(at(2_300), &end(4, &[("/popular", 90)]));
+    ledger.clear(digest("/slow"));
+    assert!(ledger.needs(late.position()));
+    ledger.inherit(at(2_400), &late.snapshot(at(2_400)));
+    assert_eq!(held(&ledger, at(2_400)), [digest("/deadly")]);
+    let rows = ledger.rows(at(2_400)).into_iter();
+    let listed: Vec<(RequestDigest, u32)> = rows.map(|row| (row.digest, row.rounds)).collect();
+    assert!(listed.contains(&(digest("/popular"), 1)), "{listed:?}");
+    assert!(!listed.iter().any(|row| row.0 == digest("/slow")));
+    // An earlier list is not taken any more.
+    assert!(!ledger.needs(early.position()));
+}
+
+// Guards against a new leader whose memory grows with the reports that it keeps for later lists.
+#[test]
+fn record_many_reports_closes_inheritance() {
+    let mut ledger = SuspectLedger::new(4, at(0));
+    let held_list = ListPosition {
+        term: 3,
+        revision: 9,
+    };
+    assert!(ledger.needs(held_list));
+    for incarnation in 0..400 {
+        let paths: Vec<String> = (0..100).map(|it| format!("/{incarnation}/{it}")).collect();
+        let requests: Vec<(&str, u64)> = paths.iter().map(|it| (it.as_str(), 10)).collect();
+        ledger.record(at(1_000 + incarnation * 50), &end(incarnation, &requests));
+    }
+    assert!(!ledger.needs(held_list));
+}
