--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -24,6 +24,7 @@
 use super::hop::{HopReply, HopRequest, LimitPolicy, strip_connection_headers};
 use super::parents::chain_rank;
 use super::state::{GatewayState, lock};
+use super::suspect_watch::RequestHold;
 use super::target_terms::TargetStatus;
 
 /// Number of excluded targets at which a refusal by a node ends the search and is returned to the client. Targets that
@@ -173,15 +174,16 @@
     }
 
     /// Gives up a request under which targets have ended.
-    fn refuse_held(&self, hold: Duration) -> Answer {
+    fn refuse_held(&self, hold: RequestHold) -> Answer {
         self.state.metrics.count("refused.request_held");
         log::info!(
-            "event=request_held request_id={} route={} hold_ms={}",
+            "event=request_held request_id={} digest={} route={} hold_ms={}",
             self.id,
+            hold.digest,
             self.route.name,
-            hold.as_millis()
+            hold.time_left.as_millis()
         );
-        self.give_up(RefusalReason::RequestHeld, hold)
+        self.give_up(RefusalReason::RequestHeld, hold.time_left)
     }
 
     fn choose(&mut self) -> Result<RouteChoice, Box<Answer>> {
@@ -343,7 +345,9 @@
             // All targets would refuse it.
             RefusalReason::RequestHeld => false,
             // The request is sent here again, to wait, once no other target has room.
-            RefusalReason::TargetLimited if self.hop.when_limited == LimitPolicy::Refuse => {
+            RefusalReason::TargetLimited | RefusalReason::SuspectAtWork
+                if self.hop.when_limited == LimitPolicy::Refuse =>
+            {
                 self.refusing_targets.push(key);
                 self.limit_refusals += 1;
                 true
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -1,7 +1,6 @@
 //! Admission to the local target: final checks of slots, draining, identity and deadline.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 use http::{Request, Uri};
 use http_body_util::Full;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::admission::{SlotDecision, SlotQueue, SlotRequest, WaitKey};
 use crate::clock::{TickClock, unix_millis};
@@ -22,12 +21,12 @@
 use super::answer::AttemptResult;
 use super::config::{GatewayConfig, HeaderNames};
 use super::gate_state::{GateState, Refusal, TermsState, WaitingRequest};
-use super::hop::{HopReply, HopRequest};
+use super::hop::{HopReply, HopRequest, LimitPolicy};
 use super::limit_usage::UsageReport;
 use super::memory::MemoryPool;
 use super::parents::{ParentTable, chain_rank};
 use super::state::lock;
-use super::suspect_watch::SuspectWatch;
+use super::suspect_watch::{SuspectTurn, SuspectWatch};
 use super::target_client::{ExchangeFailure, TargetAnswer, TargetClient};
 use super::target_notice::TargetNotice;
 use super::target_terms::TargetIdentity;
@@ -37,6 +36,11 @@
 /// Consecutive failed connections after which the target counts as down until its next report. A target resets
 /// connections above its limit, so a single failure does not show that it is down.
 const CONNECT_FAILURE_THRESHOLD: u32 = 2;
+/// Time in which nodes learn that requests are suspect: the collection of the report, two ways through a busy leader, and the
+/// ways between regions.
+const SUSPECT_LIST_TIME: Duration = Duration::from_millis(150);
+/// Longest time between two checks whether a suspect may run at the target.
+const TURN_POLL_TIME: Duration = Duration::from_millis(50);
 
 /// Admits requests to the local target.
 #[derive(Debug)]
@@ -55,7 +59,7 @@
     /// Notified when the state to announce has changed without a report.
     changed: Arc<Notify>,
     suspects: Arc<SuspectWatch>,
-    is_probing: AtomicBool,
+    last_probe: tokio::sync::Mutex<Option<TargetProbe>>,
 }
 
 /// Result of cancelling an attempt.
@@ -65,6 +69,14 @@
     Unknown,
 }
 
+/// Result of a connection to the target that was made to see whether it listens.
+#[derive(Debug)]
+struct TargetProbe {
+    target: TargetIdentity,
+    ended_at: TickTime,
+    is_refused: bool,
+}
+
 impl TargetGate {
     pub(super) fn new(
         config: &GatewayConfig,
@@ -97,7 +109,7 @@
                 state: Mutex::new(state),
                 changed,
                 suspects,
-                is_probing: AtomicBool::new(false),
+                last_probe: tokio::sync::Mutex::default(),
             }),
         }
     }
@@ -262,17 +274,27 @@
 
     /// Runs a request at the target. Dropping the future cancels the request, unless it is at-most-once and already has
     /// a slot.
-    async fn run(&self, request: HopRequest) -> AttemptResult {
+    async fn run(&self, mut request: HopRequest) -> AttemptResult {
         let shared = Arc::clone(&self.shared);
         let deadline = shared.now() + request.timeout;
+        let turn = match shared.wait_for_turn(&mut request).await {
+            Ok(turn) => turn,
+            Err((reason, wait)) => return AttemptResult::NotRun { reason, wait },
+        };
         let slot = match shared.acquire(&request).await {
             Ok(slot) => slot,
             Err((reason, wait)) => return AttemptResult::NotRun { reason, wait },
         };
         if !request.is_at_most_once {
-            return shared.hand_over(request, slot, deadline).await;
+            let result = shared.hand_over(request, slot, deadline).await;
+            drop(turn);
+            return result;
         }
-        let running = tokio::spawn(async move { shared.hand_over(request, slot, deadline).await });
+        let running = tokio::spawn(async move {
+            let result = shared.hand_over(request, slot, deadline).await;
+            drop(turn);
+            result
+        });
         running
             .await
             .unwrap_or_else(|error| AttemptResult::Unknown {
@@ -290,6 +312,47 @@
         self.now() - self.report_timeout
     }
 
+    /// Waits while another suspect is at work at the target, if targets have ended under the request. The wait is taken off the
+    /// request's times.
+    async fn wait_for_turn(
+        &self,
+        request: &mut HopRequest,
+    ) -> Result<Option<SuspectTurn>, Refusal> {
+        let began_at = self.now();
+        let longest = request
+            .objective
+            .min(request.timeout.saturating_sub(request.refusal_time));
+        let mut has_waited = false;
+        loop {
+            let busy = match self.suspects.take_turn(request) {
+                Ok(turn) => {
+                    let waited = self.now() - began_at;
+                    request.objective = request.objective.saturating_sub(waited);
+                    request.timeout = request.timeout.saturating_sub(waited);
+                    return Ok(turn);
+                }
+                Err(busy) => busy,
+            };
+            let time_left = longest.saturating_sub(self.now() - began_at);
+            let is_refused = time_left.is_zero() || request.when_limited == LimitPolicy::Refuse;
+            if is_refused || !has_waited {
+                has_waited = true;
+                log::info!(
+                    "event=suspect_at_work request_id={} digest={} running={} refused={is_refused}",
+                    request.request_id.to_str().unwrap_or("malformed"),
+                    busy.digest,
+                    busy.running
+                );
+            }
+            if is_refused {
+                return Err((RefusalReason::SuspectAtWork, TURN_POLL_TIME));
+            }
+            // A turn may end between the check and the wait.
+            let changed = self.suspects.turn_changed();
+            let _ = timeout(time_left.min(TURN_POLL_TIME), changed).await;
+        }
+    }
+
     /// Waits for a slot, then checks again that the request may be handed to the target.
     async fn acquire(self: &Arc<Self>, request: &HopRequest) -> Result<SlotGuard, Refusal> {
         let mut wait_guard = {
@@ -358,8 +421,14 @@
                 wait: Duration::ZERO,
             };
         }
-        if let Some(wait) = self.suspects.hold(started, &request) {
-            let reason = RefusalReason::RequestHeld;
+        if let Some(hold) = self.suspects.hold(started, &request) {
+            log::info!(
+                "event=request_held request_id={} digest={} hold_ms={}",
+                request.request_id.to_str().unwrap_or("malformed"),
+                hold.digest,
+                hold.time_left.as_millis()
+            );
+            let (reason, wait) = (RefusalReason::RequestHeld, hold.time_left);
             return AttemptResult::NotRun { reason, wait };
         }
         let begun = lock(&self.state).begin_hand_over(self.oldest_report(), &request, deadline);
@@ -400,6 +469,9 @@
             self.suspects
                 .record_broken(self.now(), &target, &request, started);
             self.probe_after_break(&target);
+            if !request.is_at_most_once {
+                self.delay_repeat(&target, deadline).await;
+            }
         }
         let outcome = outcome.map(|TargetAnswer { result, notice }| {
             let is_whole = matches!(
@@ -449,19 +521,44 @@
     /// Finds out whether the target has ended after a connection to it broke. A connection may break for other reasons, so only
     /// a refused one counts; otherwise the report of the next incarnation tells.
     fn probe_after_break(self: &Arc<Self>, target: &TargetIdentity) {
-        if self.is_probing.swap(true, Ordering::Relaxed) {
-            return;
-        }
         let (shared, target) = (Arc::clone(self), target.clone());
         tokio::spawn(async move {
-            let is_refused = shared.client.refuses_connections().await;
-            shared.is_probing.store(false, Ordering::Relaxed);
-            if is_refused {
+            if shared.refuses_connections(&target).await {
                 shared.record_end(&target);
             }
         });
     }
 
+    /// Returns whether nothing listens at the target's address any more. Those who ask meanwhile share a connection.
+    async fn refuses_connections(&self, target: &TargetIdentity) -> bool {
+        let asked_at = self.now();
+        let mut last = self.last_probe.lock().await;
+        if let Some(probe) = last.as_ref().filter(|probe| probe.target == *target) {
+            let age = asked_at.saturating_since(probe.ended_at);
+            if age.is_zero() || (probe.is_refused && age < SUSPECT_LIST_TIME) {
+                return probe.is_refused;
+            }
+        }
+        let is_refused = self.client.refuses_connections().await;
+        *last = Some(TargetProbe {
+            target: target.clone(),
+            ended_at: self.now(),
+            is_refused,
+        });
+        is_refused
+    }
+
+    /// Delays the result of a request under which the target has ended until all nodes know that the request is suspect. Repeated
+    /// at once, all requests that were at work here would meet at the next target, and if that one ended too, it would not be
+    /// known under which of them.
+    async fn delay_repeat(&self, target: &TargetIdentity, deadline: TickTime) {
+        let probe = timeout(SUSPECT_LIST_TIME, self.refuses_connections(target));
+        if probe.await == Ok(true) {
+            let time_left = deadline - self.now();
+            sleep(SUSPECT_LIST_TIME.min(time_left)).await;
+        }
+    }
+
     /// Records the end of the incarnation, unless it is leaving or another one is in use.
     fn record_end(&self, target: &TargetIdentity) {
         let serving = lock(&self.state).serving_identity();
--- a/src/gateway/suspect_watch.rs
+++ b/src/gateway/suspect_watch.rs
@@ -2,9 +2,11 @@
 //! holds back the requests that the leader lists.
 
 use std::collections::{BTreeSet, VecDeque};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use crate::generated::{HeartbeatReply, HeartbeatRequest};
 use crate::suspects::{EndedRequest, RequestDigest, SuspectList, SuspectSnapshot, TargetEnd};
 use crate::types::{NodeId, TickTime};
@@ -58,6 +60,8 @@
     /// Whether the leader has asked for the list.
     is_list_wanted: bool,
     cleared: BTreeSet<RequestDigest>,
+    /// Suspect that has the turn at the target, and the number of its copies there.
+    running: Option<(RequestDigest, usize)>,
 }
 
 /// Suspects of the mesh and ends of the local target.
@@ -65,6 +69,39 @@
 pub(super) struct SuspectWatch {
     node_id: NodeId,
     state: Mutex<WatchState>,
+    turns: Notify,
+}
+
+/// Request that is held back.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RequestHold {
+    pub(super) digest: RequestDigest,
+    pub(super) time_left: Duration,
+}
+
+/// Suspect that finds another one at work at the target.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SuspectBusy {
+    pub(super) digest: RequestDigest,
+    pub(super) running: RequestDigest,
+}
+
+/// Turn of a suspect at the target; ends when it is dropped.
+#[derive(Debug)]
+pub(super) struct SuspectTurn {
+    watch: Arc<SuspectWatch>,
+}
+
+impl Drop for SuspectTurn {
+    fn drop(&mut self) {
+        let mut state = lock(&self.watch.state);
+        state.running = match state.running {
+            Some((digest, count)) if count > 1 => Some((digest, count - 1)),
+            _ => None,
+        };
+        drop(state);
+        self.watch.turns.notify_waiters();
+    }
 }
 
 fn digest_of(request: &HopRequest) -> RequestDigest {
@@ -83,17 +120,56 @@
         Self {
             node_id,
             state: Mutex::default(),
+            turns: Notify::new(),
         }
     }
 
-    /// Returns the time for which a request is held back, or `None` if it may be sent.
-    pub(super) fn hold(&self, now: TickTime, request: &HopRequest) -> Option<Duration> {
+    /// Returns the hold on a request, or `None` if it may be sent.
+    pub(super) fn hold(&self, now: TickTime, request: &HopRequest) -> Option<RequestHold> {
         // Digests of large bodies cost processor time, so they are computed only while there are suspects.
         if lock(&self.state).list.is_empty() {
             return None;
         }
         let digest = digest_of(request);
-        lock(&self.state).list.hold(now, digest)
+        let time_left = lock(&self.state).list.hold(now, digest)?;
+        Some(RequestHold { digest, time_left })
+    }
+
+    /// Returns whether a target has ended under a request that may be sent, and its identity.
+    fn suspect_digest(&self, request: &HopRequest) -> Option<RequestDigest> {
+        if lock(&self.state).list.is_empty() {
+            return None;
+        }
+        let digest = digest_of(request);
+        lock(&self.state).list.contains(digest).then_some(digest)
+    }
+
+    /// Takes the turn of a suspect at the target, where only one suspect runs at a time: if the target ends, it is known under
+    /// which. Returns `None` for other requests, and fails if another suspect has the turn.
+    pub(super) fn take_turn(
+        self: &Arc<Self>,
+        request: &HopRequest,
+    ) -> Result<Option<SuspectTurn>, SuspectBusy> {
+        let Some(digest) = self.suspect_digest(request) else {
+            return Ok(None);
+        };
+        let mut state = lock(&self.state);
+        let count = match state.running {
+            None => 0,
+            // Copies of one request do not obscure which request ended the target.
+            Some((running, count)) if running == digest => count,
+            Some((running, _)) => return Err(SuspectBusy { digest, running }),
+        };
+        state.running = Some((digest, count + 1));
+        drop(state);
+        Ok(Some(SuspectTurn {
+            watch: Arc::clone(self),
+        }))
+    }
+
+    /// Waits until a turn has ended or the list of suspects has changed.
+    pub(super) async fn turn_changed(&self) {
+        self.turns.notified().await;
     }
 
     /// Records an attempt whose connection to the target broke.
@@ -222,11 +298,12 @@
         let mut snapshot = SuspectSnapshot::from(set);
         snapshot.position.term = reply.term;
         let had_suspects = !state.list.is_empty();
-        let is_adopted = state.list.adopt(now, &snapshot);
+        state.list.adopt(now, &snapshot);
+        self.turns.notify_waiters();
         let held = snapshot.rows.iter().filter(|row| row.hold.is_some());
-        if !snapshot.rows.is_empty() || had_suspects || !is_adopted {
+        if !snapshot.rows.is_empty() || had_suspects {
             log::info!(
-                "event=suspects term={} revision={} rows={} held={} base_term={} base_revision={} adopted={is_adopted}",
+                "event=suspects term={} revision={} rows={} held={} base_term={} base_revision={}",
                 snapshot.position.term,
                 snapshot.position.revision,
                 snapshot.rows.len(),
--- a/src/retry/policy.rs
+++ b/src/retry/policy.rs
@@ -133,6 +133,7 @@
         | RefusalReason::AdmissionLevel
         | RefusalReason::QueueFull
         | RefusalReason::TargetLimited
+        | RefusalReason::SuspectAtWork
         | RefusalReason::Displaced
         | RefusalReason::DeadlineInfeasible
         | RefusalReason::TargetLeaving
--- a/src/suspects/ledger.rs
+++ b/src/suspects/ledger.rs
@@ -60,8 +60,8 @@
 ///
 /// All requests at work at a target that ends become suspects. Those that do not end the next one are cleared by their
 /// answer. When a target ends under requests of which some are suspects already, these explain its end and the others are
-/// not counted. Only a run that began after the end before it counts as another round: targets that end together, for a
-/// cause of their own, are one round for a request that was at work at all of them.
+/// not counted. Only a run that began after the request was listed counts as another round: until then nobody could report
+/// that it was answered. A request is held back once it alone explains an end in its second round or a later one.
 ///
 /// A new leader continues with the latest list of the leader before, which the nodes hand over. Reports of its own term are
 /// kept so that they can be applied to a later list that another node hands over.
--- a/src/suspects/list.rs
+++ b/src/suspects/list.rs
@@ -35,31 +35,26 @@
         self.suspects.is_empty()
     }
 
-    /// Replaces the list and returns whether it did. A list of a new leader that does not include the one held is not taken as
-    /// long as that one has suspects: the leader gets it with the next heartbeat.
-    pub fn adopt(&mut self, now: TickTime, snapshot: &SuspectSnapshot) -> bool {
+    /// Replaces the list. A new leader that does not include the list held here may not know of earlier ends, so requests that
+    /// are held back stay held.
+    pub fn adopt(&mut self, now: TickTime, snapshot: &SuspectSnapshot) {
         if snapshot.position < self.position {
-            return false;
+            return;
         }
-        self.suspects.retain(|_, suspect| suspect.until > now);
         let is_included =
             snapshot.position.term == self.position.term || snapshot.base >= self.position;
-        if !is_included && !self.is_empty() {
-            return false;
-        }
-        let rows = snapshot.rows.iter();
-        let suspects = rows.map(|row| {
-            let suspect = ListedSuspect {
+        self.suspects
+            .retain(|_, suspect| !is_included && suspect.is_held && suspect.until > now);
+        for row in &snapshot.rows {
+            let listed = ListedSuspect {
                 rounds: row.rounds,
                 is_held: row.hold.is_some(),
                 until: now + row.hold.unwrap_or(row.time_left),
             };
-            (row.digest, suspect)
-        });
-        self.suspects = suspects.collect();
+            self.suspects.entry(row.digest).or_insert(listed);
+        }
         self.ends.clone_from(&snapshot.ends);
         (self.position, self.base) = (snapshot.position, snapshot.base);
-        true
     }
 
     /// Returns the list for the next leader.
--- a/src/suspects/state.rs
+++ b/src/suspects/state.rs
@@ -8,17 +8,17 @@
 use super::snapshot::{SuspectRow, SuspectSnapshot};
 use super::{EndedRequest, RequestDigest, TargetEnd};
 
-/// Number of ends of targets, each in a run of the request that began after the end before it, from which a request is held
-/// back.
+/// Number of ends of targets, each in a run of the request that began after the end before it was listed, from which a request
+/// is held back.
 const HELD_ROUNDS: u32 = 2;
 /// Time for which a request is held back after the last end under it.
 pub(super) const HOLD_TIME: Duration = Duration::from_mins(2);
 /// Time for which a request stays suspect after a single end.
 const SUSPECT_TIME: Duration = Duration::from_secs(30);
-/// Difference that the ways of two reports to the leader may make between their times.
-const REPORT_DELAY: Duration = Duration::from_millis(30);
 /// Maximum number of suspects. A target that ends adds one for each request at work there.
 pub(super) const MAX_SUSPECTS: usize = 1_024;
+/// Time for which an end is remembered. Nodes report an end for two minutes.
+const END_TIME: Duration = Duration::from_secs(150);
 /// Number of reported ends that are remembered, so that a repeated report is not counted twice.
 const MAX_ENDS: usize = 1_024;
 
@@ -26,7 +26,8 @@
 struct Suspect {
     rounds: u32,
     is_held: bool,
-    /// Runs that began earlier do not count as another round.
+    /// Runs that began earlier do not count as another round. Nodes did not know yet that the request was suspect, so they
+    /// would not have reported that it was answered.
     counts_from: TickTime,
     until: TickTime,
 }
@@ -35,13 +36,15 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct SuspectState {
     suspects: BTreeMap<RequestDigest, Suspect>,
-    ends: VecDeque<u64>,
+    /// Incarnations that have ended, and the times at which the leader recorded them.
+    ends: VecDeque<(u64, TickTime)>,
 }
 
 impl SuspectState {
     /// Restores the state that a list describes.
     pub(super) fn restore(now: TickTime, snapshot: &SuspectSnapshot) -> Self {
         let rows = snapshot.rows.iter().take(MAX_SUSPECTS);
+        let ends = snapshot.ends.iter().take(MAX_ENDS);
         let suspects = rows.map(|row| {
             let suspect = Suspect {
                 rounds: row.rounds,
@@ -53,19 +56,20 @@
         });
         Self {
             suspects: suspects.collect(),
-            ends: snapshot.ends.iter().copied().take(MAX_ENDS).collect(),
+            ends: ends.map(|incarnation| (*incarnation, now)).collect(),
         }
     }
 
     /// Records the end of a target. Returns false if it has been recorded before.
     pub(super) fn record(&mut self, now: TickTime, end: &TargetEnd) -> bool {
-        if self.ends.contains(&end.incarnation) {
+        let mut recorded = self.ends.iter().map(|(incarnation, _)| *incarnation);
+        if recorded.any(|incarnation| incarnation == end.incarnation) {
             return false;
         }
         if self.ends.len() == MAX_ENDS {
             self.ends.pop_front();
         }
-        self.ends.push_back(end.incarnation);
+        self.ends.push_back((end.incarnation, now));
         if end.age >= SUSPECT_TIME {
             return true;
         }
@@ -83,34 +87,39 @@
                 *shortest = request.run_time.min(*shortest);
             }
         }
+        let is_alone = blamed.len() == 1;
         for (digest, run_time) in blamed {
-            let request = EndedRequest { digest, run_time };
-            self.blame(now, ended_at, request);
+            self.blame(now, digest, ended_at - run_time, is_alone);
         }
         self.evict_least_suspected();
         true
     }
 
-    /// Counts an end against a request.
-    fn blame(&mut self, now: TickTime, ended_at: TickTime, request: EndedRequest) {
-        let EndedRequest { digest, run_time } = request;
+    /// Counts an end against a request. `is_alone` says that no other request explains the end as well.
+    fn blame(
+        &mut self,
+        now: TickTime,
+        digest: RequestDigest,
+        handed_over_at: TickTime,
+        is_alone: bool,
+    ) {
         let Some(suspect) = self.suspects.get_mut(&digest) else {
             let suspect = Suspect {
                 rounds: 1,
                 is_held: false,
-                counts_from: ended_at - REPORT_DELAY,
+                counts_from: now,
                 until: now + SUSPECT_TIME,
             };
             self.suspects.insert(digest, suspect);
             return;
         };
-        if ended_at - run_time < suspect.counts_from {
+        if handed_over_at < suspect.counts_from {
             return;
         }
         suspect.rounds = suspect.rounds.saturating_add(1);
-        suspect.counts_from = ended_at - REPORT_DELAY;
+        suspect.counts_from = now;
         suspect.until = now + HOLD_TIME;
-        if suspect.rounds >= HELD_ROUNDS && !suspect.is_held {
+        if suspect.rounds >= HELD_ROUNDS && is_alone && !suspect.is_held {
             suspect.is_held = true;
             log::warn!(event = "request-held", digest:% = digest, rounds = suspect.rounds; "");
         }
@@ -135,8 +144,10 @@
         self.suspects.remove(&digest).is_some()
     }
 
-    /// Removes suspects whose time is over. Returns whether there were any.
+    /// Removes suspects and ends whose time is over. Returns whether there were suspects among them.
     pub(super) fn expire(&mut self, now: TickTime) -> bool {
+        self.ends
+            .retain(|(_, recorded_at)| now.saturating_since(*recorded_at) < END_TIME);
         let before = self.suspects.len();
         self.suspects.retain(|_, suspect| suspect.until > now);
         self.suspects.len() != before
@@ -157,6 +168,7 @@
     }
 
     pub(super) fn ends(&self) -> Vec<u64> {
-        self.ends.iter().copied().collect()
+        let ends = self.ends.iter();
+        ends.map(|(incarnation, _)| *incarnation).collect()
     }
 }
--- a/src/types/outcome.rs
+++ b/src/types/outcome.rs
@@ -91,6 +91,8 @@
     TargetLimited => "target-limited", SERVICE_UNAVAILABLE;
     /// Targets have ended under this request, so it is held back.
     RequestHeld => "request-held", SERVICE_UNAVAILABLE;
+    /// Targets have ended under this request, and another such request is at work at the target.
+    SuspectAtWork => "suspect-at-work", SERVICE_UNAVAILABLE;
     /// Work of higher priority took the request's place in the queue.
     Displaced => "displaced", SERVICE_UNAVAILABLE;
     /// The deadline cannot be met.
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -160,13 +160,26 @@
     list.adopt(at(2_000), &list_of((4, 0), (0, 0), &[]));
     assert!(list.hold(at(2_000), digest("/deadly")).is_some());
     assert!(list.hold(at(2_000), digest("/short")).is_none());
-    // The new leader has the list by now.
-    let handed_over = [row("/deadly", 98)];
-    list.adopt(at(2_000), &list_of((4, 0), (3, 5), &handed_over));
     // A late reply of the earlier term changes nothing.
     list.adopt(at(2_000), &list_of((3, 6), (0, 0), &[]));
     assert!(list.hold(at(2_000), digest("/deadly")).is_some());
-    list.adopt(at(3_000), &list_of((4, 1), (3, 5), &[]));
+    list.adopt(at(3_000), &list_of((4, 1), (0, 0), &[]));
+    assert!(list.is_empty());
+}
+
+// Guards against a request that a node holds back for two minutes, although the new leader has taken a later list in which it
+// is cleared.
+#[test]
+fn adopt_new_term_that_includes_list() {
+    let mut list = SuspectList::default();
+    let row = SuspectRow {
+        digest: digest("/popular"),
+        hold: Some(Duration::from_secs(100)),
+        rounds: 2,
+        time_left: Duration::from_secs(100),
+    };
+    list.adopt(at(0), &list_of((3, 5), (0, 0), &[row]));
+    list.adopt(at(2_000), &list_of((4, 0), (3, 6), &[]));
     assert!(list.is_empty());
 }
 
@@ -264,6 +277,38 @@
     assert!(!ledger.needs(early.position()));
 }
 
+// Guards against a request that is held back because targets ended under it twice while no leader could be told that others
+// answered it in between.
+#[test]
+fn record_ends_reported_together() {
+    let mut ledger = SuspectLedger::new(4, at(0));
+    for (incarnation, age_s) in [(1, 9), (2, 6), (3, 2)] {
+        let age = Duration::from_secs(age_s);
+        let ended = end(incarnation, &[("/popular", 15)]);
+        ledger.record(at(500), &TargetEnd { age, ..ended });
+    }
+    assert!(held(&ledger, at(500)).is_empty());
+    // A run after that counts.
+    ledger.record(at(900), &end(4, &[("/popular", 100)]));
+    assert_eq!(held(&ledger, at(900)), [digest("/popular")]);
+}
+
+// Guards against requests that are held back because they were repeated together with the one that ends targets.
+#[test]
+fn record_together_with_deadly_request() {
+    let mut ledger = SuspectLedger::default();
+    let crowd = [("/deadly", 80), ("/a", 80), ("/b", 80), ("/c", 80)];
+    ledger.record(at(1_000), &end(1, &crowd));
+    ledger.record(at(1_160), &end(2, &crowd));
+    assert!(held(&ledger, at(1_160)).is_empty());
+    ledger.clear(digest("/a"));
+    ledger.record(at(1_400), &end(3, &[("/deadly", 80), ("/d", 80)]));
+    assert_eq!(held(&ledger, at(1_400)), [digest("/deadly")]);
+    ledger.clear(digest("/b"));
+    ledger.clear(digest("/c"));
+    assert_eq!(ledger.rows(at(1_400)).len(), 1);
+}
+
 // Guards against a new leader whose memory grows with the reports that it keeps for later lists.
 #[test]
 fn record_many_reports_closes_inheritance() {
@@ -280,3 +325,14 @@
     }
     assert!(!ledger.needs(held_list));
 }
+
+// Guards against a list of ends that grows as long as targets end.
+#[test]
+fn expire_forgets_ends() {
+    let mut ledger = SuspectLedger::new(4, at(0));
+    ledger.record(at(1_000), &end(1, &[("/a", 10)]));
+    ledger.expire(at(122_000));
+    assert_eq!(ledger.snapshot(at(122_000)).ends, [1]);
+    ledger.expire(at(152_000));
+    assert!(ledger.snapshot(at(152_000)).ends.is_empty());
+}
