--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -3,14 +3,17 @@
 use std::collections::VecDeque;
 use std::fmt::Write;
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{Method, StatusCode};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinError;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -47,6 +50,8 @@
 /// memory.
 const MAX_JOINED_BYTES: usize = 32 * 1024;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Interval at which a connection with unread input is checked for its end.
+const CLOSE_POLL_TIME: Duration = Duration::from_millis(50);
 
 /// Accepts connections until the process stops.
 pub(super) async fn serve_clients(state: Arc<GatewayState>, listener: TcpListener) {
@@ -125,6 +130,8 @@
 #[derive(Debug)]
 enum ConnectionEvent {
     Read(usize),
+    /// The client has closed the connection or its sending side, or reset the connection.
+    Left,
     Answered(Answer),
     Idle,
     Closing,
@@ -167,13 +174,14 @@
                 return self.close().await;
             }
             match self.next_event().await? {
-                ConnectionEvent::Read(0) => {
-                    if !self.pending.is_empty() {
-                        self.state.metrics.count("client.left");
-                    }
-                    return Ok(());
+                ConnectionEvent::Read(0) | ConnectionEvent::Left => {
+                    return self.deliver_ready().await;
                 }
                 ConnectionEvent::Read(_) => {
+                    // The requests may have waited here longer than their client has.
+                    if has_closed(&self.stream) {
+                        return self.deliver_ready().await;
+                    }
                     self.last_activity_at = Instant::now();
                     if self.is_last {
                         // Further input is discarded; only the end of the connection matters.
@@ -184,6 +192,9 @@
                 }
                 ConnectionEvent::Answered(answer) => {
                     self.write_front(answer).await?;
+                    if has_closed(&self.stream) {
+                        return self.deliver_ready().await;
+                    }
                     self.last_activity_at = Instant::now();
                     // The next request may have been left unread while answers were pending.
                     self.request_began_at = self.last_activity_at;
@@ -229,18 +240,20 @@
                 None => std::future::pending().await,
             }
         };
+        let stream = &mut self.stream;
+        let input = async {
+            if can_read {
+                return stream.read_buf(buffer).await.map(ConnectionEvent::Read);
+            }
+            wait_for_close(stream).await;
+            Ok(ConnectionEvent::Left)
+        };
         tokio::select! {
             biased;
             answer = answered => {
-                let answer = answer.unwrap_or_else(|error| {
-                    log::error!("event=request_failed error={:?}", error.to_string());
-                    Answer::own(StatusCode::BAD_GATEWAY, "internal")
-                });
-                Ok(ConnectionEvent::Answered(answer))
-            }
-            read = self.stream.read_buf(buffer), if can_read => {
-                read.map(ConnectionEvent::Read)
+                Ok(ConnectionEvent::Answered(answer_of(answer)))
             }
+            event = input => event,
             () = sleep_until(idle_deadline.into()), if is_idle => Ok(ConnectionEvent::Idle),
             () = closing.cancelled(), if !is_closing => Ok(ConnectionEvent::Closing),
         }
@@ -295,9 +308,7 @@
                     return Ok(());
                 }
                 if self.framer.take_wants_continue() && self.pending.is_empty() {
-                    self.stream
-                        .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
-                        .await?;
+                    self.write_small(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
                 }
                 return Ok(());
             };
@@ -368,6 +379,18 @@
         });
     }
 
+    /// Ends the connection of a client that has left: cancels what has no answer yet, and writes the answers that are ready,
+    /// since it may have closed its sending side only.
+    async fn deliver_ready(&mut self) -> io::Result<()> {
+        cancel_unanswered(&self.state, &mut self.pending, &mut self.deferred);
+        self.framer.clear();
+        while let Some(front) = self.pending.front_mut() {
+            let answer = answer_of((&mut front.task).await);
+            self.write_front(answer).await?;
+        }
+        self.close().await
+    }
+
     async fn write_front(&mut self, answer: Answer) -> io::Result<()> {
         let Some(front) = self.pending.pop_front() else {
             return Ok(());
@@ -381,15 +404,33 @@
         self.is_last |= !keeps_alive;
         let head = encode_head(&answer, keeps_alive);
         let body: &[u8] = if front.is_head { &[] } else { &answer.body };
+        let (reader, mut writer) = self.stream.split();
         let writing = async {
             if body.len() > MAX_JOINED_BYTES {
-                self.stream.write_all(head.as_bytes()).await?;
-                return self.stream.write_all(body).await;
+                writer.write_all(head.as_bytes()).await?;
+                return writer.write_all(body).await;
             }
             let message = [head.as_bytes(), body].concat();
-            self.stream.write_all(&message).await
+            writer.write_all(&message).await
         };
-        timeout(WRITE_TIMEOUT, writing)
+        let writing = timeout(WRITE_TIMEOUT, writing);
+        tokio::pin!(writing);
+        let written = tokio::select! {
+            biased;
+            written = &mut writing => written,
+            // A client that reads slowly may leave before it has read this answer. It may have closed its sending side only, so
+            // the answer is still written.
+            () = wait_for_close(reader.as_ref()) => {
+                cancel_unanswered(&self.state, &mut self.pending, &mut self.deferred);
+                writing.await
+            }
+        };
+        written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    }
+
+    /// Writes a short message that does not answer a pending request.
+    async fn write_small(&mut self, message: &[u8]) -> io::Result<()> {
+        timeout(WRITE_TIMEOUT, self.stream.write_all(message))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
@@ -399,8 +440,8 @@
             self.state.metrics.count("refused.request_timeout");
             let answer = Answer::own(StatusCode::REQUEST_TIMEOUT, "request-timeout");
             let head = encode_head(&answer, false);
-            self.stream.write_all(head.as_bytes()).await?;
-            self.stream.write_all(&answer.body).await?;
+            let message = [head.as_bytes(), &answer.body].concat();
+            self.write_small(&message).await?;
         }
         self.close().await
     }
@@ -417,6 +458,52 @@
     }
 }
 
+/// Cancels the requests of a client that has left. Of its answers only those that are next in order and ready are kept.
+fn cancel_unanswered(
+    state: &GatewayState,
+    pending: &mut VecDeque<PendingAnswer>,
+    deferred: &mut Option<FramedRequest>,
+) {
+    let ready = pending.iter().take_while(|it| it.task.is_finished());
+    let ready = ready.count();
+    let cancelled = pending.len() - ready;
+    let is_deferred = deferred.take().is_some();
+    if cancelled > 0 || is_deferred {
+        state.metrics.count("client.left");
+        log::info!("event=client_left cancelled={cancelled} deferred={is_deferred} ready={ready}");
+    }
+    pending.truncate(ready);
+}
+
+/// Waits until the client has closed its sending side or reset the connection. Input that has not been read does not hide that, as
+/// it would from a read.
+async fn wait_for_close(stream: &TcpStream) {
+    loop {
+        match stream.ready(Interest::READABLE).await {
+            Ok(ready) if !ready.is_read_closed() => sleep(CLOSE_POLL_TIME).await,
+            Ok(_) => return,
+            Err(error) => {
+                log::debug!("event=readiness_failed listener=client error={error:?}");
+                return;
+            }
+        }
+    }
+}
+
+/// Returns whether the client has closed its sending side or reset the connection.
+fn has_closed(stream: &TcpStream) -> bool {
+    let ready = pin!(stream.ready(Interest::READABLE));
+    let polled = ready.poll(&mut Context::from_waker(Waker::noop()));
+    matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+}
+
+fn answer_of(finished: Result<Answer, JoinError>) -> Answer {
+    finished.unwrap_or_else(|error| {
+        log::error!("event=request_failed error={:?}", error.to_string());
+        Answer::own(StatusCode::BAD_GATEWAY, "internal")
+    })
+}
+
 fn encode_head(answer: &Answer, keeps_alive: bool) -> String {
     let reason = answer.status.canonical_reason().unwrap_or("Unknown");
     let mut head = format!("HTTP/1.1 {} {reason}\r\n", answer.status.as_u16());
