--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -312,8 +312,8 @@
         self.now() - self.report_timeout
     }
 
-    /// Waits while another suspect is at work at the target, if targets have ended under the request. The wait is taken off the
-    /// request's times.
+    /// Waits while another request that may have ended targets is at work here, if this one may have as well. The wait is taken
+    /// off the request's times.
     async fn wait_for_turn(
         &self,
         request: &mut HopRequest,
@@ -548,9 +548,8 @@
         is_refused
     }
 
-    /// Delays the result of a request under which the target has ended until all nodes know that the request is suspect. Repeated
-    /// at once, all requests that were at work here would meet at the next target, and if that one ended too, it would not be
-    /// known under which of them.
+    /// Delays the result of a request under which the target has ended until all nodes know that the request is suspect. A repeat
+    /// that began earlier would not count if it ended the next target, too.
     async fn delay_repeat(&self, target: &TargetIdentity, deadline: TickTime) {
         let probe = timeout(SUSPECT_LIST_TIME, self.refuses_connections(target));
         if probe.await == Ok(true) {
--- a/src/gateway/suspect_watch.rs
+++ b/src/gateway/suspect_watch.rs
@@ -135,25 +135,20 @@
         Some(RequestHold { digest, time_left })
     }
 
-    /// Returns whether a target has ended under a request that may be sent, and its identity.
-    fn suspect_digest(&self, request: &HopRequest) -> Option<RequestDigest> {
-        if lock(&self.state).list.is_empty() {
-            return None;
-        }
-        let digest = digest_of(request);
-        lock(&self.state).list.contains(digest).then_some(digest)
-    }
-
-    /// Takes the turn of a suspect at the target, where only one suspect runs at a time: if the target ends, it is known under
-    /// which. Returns `None` for other requests, and fails if another suspect has the turn.
+    /// Takes the turn of a request that may be one of several under which targets have ended. Only one of these runs at the target
+    /// at a time, so that another end tells which it is. Returns `None` for other requests, and fails if another one has the turn.
     pub(super) fn take_turn(
         self: &Arc<Self>,
         request: &HopRequest,
     ) -> Result<Option<SuspectTurn>, SuspectBusy> {
-        let Some(digest) = self.suspect_digest(request) else {
+        if lock(&self.state).list.is_empty() {
             return Ok(None);
-        };
+        }
+        let digest = digest_of(request);
         let mut state = lock(&self.state);
+        if !state.list.is_ambiguous(digest) {
+            return Ok(None);
+        }
         let count = match state.running {
             None => 0,
             // Copies of one request do not obscure which request ended the target.
--- a/src/suspects/list.rs
+++ b/src/suspects/list.rs
@@ -7,6 +7,7 @@
 
 use super::RequestDigest;
 use super::snapshot::{ListPosition, SuspectRow, SuspectSnapshot};
+use super::state::HELD_ROUNDS;
 
 #[derive(Debug, Clone, Copy)]
 struct ListedSuspect {
@@ -82,6 +83,12 @@
         self.suspects.contains_key(&digest)
     }
 
+    /// Returns whether the request has been at work at enough ends to be held back, but did not explain any of them alone.
+    pub fn is_ambiguous(&self, digest: RequestDigest) -> bool {
+        let suspect = self.suspects.get(&digest);
+        suspect.is_some_and(|it| it.rounds >= HELD_ROUNDS && !it.is_held)
+    }
+
     /// Returns the time for which a request is held back, or `None` if it may be sent.
     pub fn hold(&self, now: TickTime, digest: RequestDigest) -> Option<Duration> {
         let suspect = self.suspects.get(&digest).filter(|it| it.is_held)?;
--- a/src/suspects/state.rs
+++ b/src/suspects/state.rs
@@ -10,7 +10,7 @@
 
 /// Number of ends of targets, each in a run of the request that began after the end before it was listed, from which a request
 /// is held back.
-const HELD_ROUNDS: u32 = 2;
+pub(super) const HELD_ROUNDS: u32 = 2;
 /// Time for which a request is held back after the last end under it.
 pub(super) const HOLD_TIME: Duration = Duration::from_mins(2);
 /// Time for which a request stays suspect after a single end.
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -336,3 +336,23 @@
     ledger.expire(at(152_000));
     assert!(ledger.snapshot(at(152_000)).ends.is_empty());
 }
+
+// Guards against requests that have to take turns after a plain crash, and against several that may be deadly and run together
+// again.
+#[test]
+fn is_ambiguous_from_second_round() {
+    let mut ledger = SuspectLedger::new(4, at(0));
+    let mut list = SuspectList::default();
+    let crowd = [("/deadly", 80), ("/a", 80)];
+    ledger.record(at(1_000), &end(1, &crowd));
+    list.adopt(at(1_000), &ledger.snapshot(at(1_000)));
+    assert!(!list.is_ambiguous(digest("/deadly")));
+    ledger.record(at(1_200), &end(2, &crowd));
+    list.adopt(at(1_200), &ledger.snapshot(at(1_200)));
+    assert!(list.is_ambiguous(digest("/deadly")) && list.is_ambiguous(digest("/a")));
+    ledger.record(at(1_500), &end(3, &[("/deadly", 80)]));
+    list.adopt(at(1_500), &ledger.snapshot(at(1_500)));
+    assert!(!list.is_ambiguous(digest("/deadly")));
+    assert!(list.hold(at(1_500), digest("/deadly")).is_some());
+    assert!(list.is_ambiguous(digest("/a")));
+}
