--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -39,6 +39,8 @@
 /// Time in which nodes learn that requests are suspect: the collection of the report, two ways through a busy leader, and the
 /// ways between regions.
 const SUSPECT_LIST_TIME: Duration = Duration::from_millis(150);
+/// Longest wait of a suspect of one round for others that are at work at the target.
+const FIRST_ROUND_WAIT: Duration = Duration::from_millis(300);
 /// Longest time between two checks whether a suspect may run at the target.
 const TURN_POLL_TIME: Duration = Duration::from_millis(50);
 
@@ -312,8 +314,10 @@
         self.now() - self.report_timeout
     }
 
-    /// Waits while another request that may have ended targets is at work here, if this one may have as well. The wait is taken
-    /// off the request's times.
+    /// Waits while another suspect is at work at the target, if the request is suspect. The wait is taken off the request's times.
+    ///
+    /// A suspect of one round waits for a short time only and then runs beside others: most of these were at work at a target that
+    /// ended for a cause of its own.
     async fn wait_for_turn(
         &self,
         request: &mut HopRequest,
@@ -323,18 +327,19 @@
             .objective
             .min(request.timeout.saturating_sub(request.refusal_time));
         let mut has_waited = false;
-        loop {
+        let turn = loop {
             let busy = match self.suspects.take_turn(request) {
-                Ok(turn) => {
-                    let waited = self.now() - began_at;
-                    request.objective = request.objective.saturating_sub(waited);
-                    request.timeout = request.timeout.saturating_sub(waited);
-                    return Ok(turn);
-                }
+                Ok(turn) => break turn,
                 Err(busy) => busy,
             };
-            let time_left = longest.saturating_sub(self.now() - began_at);
-            let is_refused = time_left.is_zero() || request.when_limited == LimitPolicy::Refuse;
+            let bound = if busy.is_ambiguous {
+                longest
+            } else {
+                longest.min(FIRST_ROUND_WAIT)
+            };
+            let time_left = bound.saturating_sub(self.now() - began_at);
+            let may_go_elsewhere = request.when_limited == LimitPolicy::Refuse;
+            let is_refused = may_go_elsewhere || (time_left.is_zero() && busy.is_ambiguous);
             if is_refused || !has_waited {
                 has_waited = true;
                 log::info!(
@@ -347,10 +352,17 @@
             if is_refused {
                 return Err((RefusalReason::SuspectAtWork, TURN_POLL_TIME));
             }
+            if time_left.is_zero() {
+                break None;
+            }
             // A turn may end between the check and the wait.
             let changed = self.suspects.turn_changed();
             let _ = timeout(time_left.min(TURN_POLL_TIME), changed).await;
-        }
+        };
+        let waited = self.now() - began_at;
+        request.objective = request.objective.saturating_sub(waited);
+        request.timeout = request.timeout.saturating_sub(waited);
+        Ok(turn)
     }
 
     /// Waits for a slot, then checks again that the request may be handed to the target.
@@ -548,8 +560,9 @@
         is_refused
     }
 
-    /// Delays the result of a request under which the target has ended until all nodes know that the request is suspect. A repeat
-    /// that began earlier would not count if it ended the next target, too.
+    /// Delays the result of a request under which the target has ended until all nodes know that the request is suspect. Repeated
+    /// at once, all requests that were at work here would meet at the next target, and if that one ended too, it would not be
+    /// known under which of them.
     async fn delay_repeat(&self, target: &TargetIdentity, deadline: TickTime) {
         let probe = timeout(SUSPECT_LIST_TIME, self.refuses_connections(target));
         if probe.await == Ok(true) {
--- a/src/gateway/suspect_watch.rs
+++ b/src/gateway/suspect_watch.rs
@@ -84,6 +84,8 @@
 pub(super) struct SuspectBusy {
     pub(super) digest: RequestDigest,
     pub(super) running: RequestDigest,
+    /// Whether it has been at work at two ends or more together with others.
+    pub(super) is_ambiguous: bool,
 }
 
 /// Turn of a suspect at the target; ends when it is dropped.
@@ -135,8 +137,8 @@
         Some(RequestHold { digest, time_left })
     }
 
-    /// Takes the turn of a request that may be one of several under which targets have ended. Only one of these runs at the target
-    /// at a time, so that another end tells which it is. Returns `None` for other requests, and fails if another one has the turn.
+    /// Takes the turn of a suspect at the target. Only one suspect runs there at a time, so that an end tells under which. Returns
+    /// `None` for other requests, and fails if another suspect has the turn.
     pub(super) fn take_turn(
         self: &Arc<Self>,
         request: &HopRequest,
@@ -146,14 +148,20 @@
         }
         let digest = digest_of(request);
         let mut state = lock(&self.state);
-        if !state.list.is_ambiguous(digest) {
+        if !state.list.contains(digest) {
             return Ok(None);
         }
         let count = match state.running {
             None => 0,
             // Copies of one request do not obscure which request ended the target.
             Some((running, count)) if running == digest => count,
-            Some((running, _)) => return Err(SuspectBusy { digest, running }),
+            Some((running, _)) => {
+                return Err(SuspectBusy {
+                    digest,
+                    running,
+                    is_ambiguous: state.list.is_ambiguous(digest),
+                });
+            }
         };
         state.running = Some((digest, count + 1));
         drop(state);
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -337,7 +337,7 @@
     assert!(ledger.snapshot(at(152_000)).ends.is_empty());
 }
 
-// Guards against requests that have to take turns after a plain crash, and against several that may be deadly and run together
+// Guards against requests that are refused after a plain crash, and against several that may be deadly and run together
 // again.
 #[test]
 fn is_ambiguous_from_second_round() {
