--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -277,6 +277,24 @@
     assert!(!ledger.needs(early.position()));
 }
 
+// Guards against a deadly request that is let go because the list of a leader that was lost before it had got the list of its
+// predecessor counts as later than that.
+#[test]
+fn inherit_list_of_lost_leader() {
+    let mut former = SuspectLedger::new(3, at(0));
+    former.record(at(1_000), &end(1, &[("/deadly", 80)]));
+    former.record(at(1_300), &end(2, &[("/deadly", 90)]));
+    let mut node = SuspectList::default();
+    node.adopt(at(1_300), &former.snapshot(at(1_300)));
+    let lost = SuspectLedger::new(4, at(2_000));
+    let mut restarted_node = SuspectList::default();
+    restarted_node.adopt(at(2_100), &lost.snapshot(at(2_100)));
+    let mut ledger = next_leader(at(3_000), 5, &restarted_node);
+    assert!(ledger.needs(node.position()));
+    ledger.inherit(at(3_000), &node.snapshot(at(3_000)));
+    assert_eq!(held(&ledger, at(3_000)), [digest("/deadly")]);
+}
+
 // Guards against a request that is held back because targets ended under it twice while no leader could be told that others
 // answered it in between.
 #[test]
